--- /dev/null
+++ b/src/gypsummount/_agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent process - store, peers, ledgers and rollouts."""
--- /dev/null
+++ b/src/gypsummount/_agent/driving.py
@@ -0,0 +1,77 @@
+"""Drives rollouts: any agent may write the next state."""
+
+from secrets import token_hex
+
+from gypsummount._agent.documents import read_rollouts
+from gypsummount._agent.documents import RolloutsDocument
+from gypsummount._agent.documents import write_document
+from gypsummount._agent.state import AgentState
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._common.logs import get_logger
+from gypsummount._core.naming import ROLLOUTS_OBJECT
+from gypsummount._core.rollouts import RolloutState
+from gypsummount._store.base import Store
+from gypsummount._store.updates import update_object
+from gypsummount.errors import StoreError
+
+WRITER_BYTES = 8
+
+_log = get_logger("rollouts")
+
+
+class RolloutDriver:
+    """Proposes the next state of each rollout that is moving."""
+
+    def __init__(self, state: AgentState, store: Store) -> None:
+        self._state = state
+        self._store = store
+
+    async def drive(self) -> None:
+        """Write the next states that are due."""
+        now = read_monotonic()
+        vetoes = self._state.list_vetoes()
+        for name, watch in self._state.rollouts.by_name.items():
+            plan = self._state.rules.rollouts.get(name)
+            if plan is None:
+                continue
+            following = watch.propose(plan, vetoes, now)
+            if following is None:
+                continue
+            try:
+                await self._write(watch.state, following)
+            except StoreError as error:
+                if self._state.note_no_contact():
+                    _log.warning("Lost the store: %s", error)
+
+    async def _write(
+        self, seen: RolloutState, following: RolloutState
+    ) -> None:
+        writer = token_hex(WRITER_BYTES)
+
+        def change(value: bytes | None) -> bytes | None:
+            document = read_rollouts(value)
+            if document.find(seen.name) != seen:
+                return None
+            return write_rollout(document, following, writer)
+
+        written = await update_object(self._store, ROLLOUTS_OBJECT, change)
+        self._state.note_contact()
+        self._state.take_rollouts(read_rollouts(written.value))
+        if written.changed:
+            _log.info(
+                "Rollout %s is %s at step %d. %s",
+                following.name,
+                following.phase,
+                following.step,
+                following.reason,
+            )
+
+
+def write_rollout(
+    document: RolloutsDocument, state: RolloutState, writer: str
+) -> bytes:
+    """Return the document's bytes with a state replaced."""
+    document.put(state)
+    document.serial += 1
+    document.writer = writer
+    return write_document(document)
--- /dev/null
+++ b/src/gypsummount/_agent/operations.py
@@ -0,0 +1,226 @@
+"""What operators change: configuration, keys, drains and rollouts."""
+
+from dataclasses import dataclass
+from secrets import token_hex
+
+from gypsummount._agent.documents import ConfigDocument
+from gypsummount._agent.documents import KeysDocument
+from gypsummount._agent.documents import read_config
+from gypsummount._agent.documents import read_drains
+from gypsummount._agent.documents import read_keys
+from gypsummount._agent.documents import read_rollouts
+from gypsummount._agent.documents import write_document
+from gypsummount._agent.driving import write_rollout
+from gypsummount._agent.state import AgentState
+from gypsummount._config.checks import check_text
+from gypsummount._core.keys import create_key
+from gypsummount._core.keys import GrantedKey
+from gypsummount._core.naming import CONFIG_OBJECT
+from gypsummount._core.naming import DRAINS_OBJECT
+from gypsummount._core.naming import KEYS_OBJECT
+from gypsummount._core.naming import ROLLOUTS_OBJECT
+from gypsummount._core.rollouts import recall_rollout
+from gypsummount._core.rollouts import RolloutState
+from gypsummount._core.rollouts import start_rollout
+from gypsummount._store.base import MAX_VALUE_BYTES
+from gypsummount._store.base import Store
+from gypsummount._store.updates import update_object
+from gypsummount.errors import ConfigError
+from gypsummount.errors import GypsummountError
+
+WRITER_BYTES = 8
+
+
+class NotFound(GypsummountError):
+    """The named thing does not exist."""
+
+    code = "not_found"
+
+
+class SerialConflict(GypsummountError):
+    """Another operator changed the configuration in the meantime."""
+
+    code = "serial_conflict"
+
+
+@dataclass(slots=True, frozen=True)
+class ApplyRequest:
+    """A configuration, the serial it was made from, and its writer."""
+
+    text: str
+    base_serial: int
+    writer: str
+
+
+class Operations:
+    """Writes the changes of operators to the store."""
+
+    def __init__(self, state: AgentState, store: Store) -> None:
+        self._state = state
+        self._store = store
+
+    async def apply(self, request: ApplyRequest) -> ConfigDocument:
+        """Write a configuration and return it as it is in force.
+
+        A repeated request of the same writer is applied once.
+
+        :raises ConfigError: when it has faults; it has no effect then.
+        :raises SerialConflict: when the base serial is not the last.
+        :raises StoreError: when the store does not answer.
+        """
+        _check_config(request.text)
+
+        def change(value: bytes | None) -> bytes | None:
+            known = read_config(value)
+            if known.writer == request.writer and known.text == request.text:
+                return None
+            if known.serial != request.base_serial:
+                raise SerialConflict(
+                    f"configuration {known.serial} is in force, not "
+                    f"{request.base_serial}; run 'gypsummount diff', then "
+                    "apply again"
+                )
+            return write_document(
+                ConfigDocument(known.serial + 1, request.writer, request.text)
+            )
+
+        written = await update_object(self._store, CONFIG_OBJECT, change)
+        document = read_config(written.value)
+        self._state.note_contact()
+        self._state.take_config(document)
+        return document
+
+    async def grant_key(
+        self, workspace: str, asked_by: str, ends_at: float
+    ) -> GrantedKey:
+        """Grant a new key to a workspace.
+
+        :raises NotFound: when there is no such workspace.
+        :raises StoreError: when the store does not answer.
+        """
+        if workspace not in self._state.rules.workspaces:
+            raise NotFound(
+                f"no workspace '{workspace}'; add a workspace rule first"
+            )
+        pepper = self._state.settings.pepper
+        granted = create_key(
+            workspace, pepper, asked_by=asked_by, ends_at=ends_at
+        )
+
+        def change(value: bytes | None) -> bytes | None:
+            document = read_keys(value)
+            document.records.append(granted.record)
+            return _write_keys(document)
+
+        await self._update_keys(change)
+        return granted
+
+    async def withdraw_key(self, key_id: str) -> None:
+        """Withdraw a key; withdrawing it twice is no error.
+
+        :raises StoreError: when the store does not answer.
+        """
+
+        def change(value: bytes | None) -> bytes | None:
+            document = read_keys(value)
+            kept = [
+                record
+                for record in document.records
+                if record.key_id != key_id
+            ]
+            if len(kept) == len(document.records):
+                return None
+            document.records = kept
+            return _write_keys(document)
+
+        await self._update_keys(change)
+
+    async def drain(self, server: str, *, restore: bool) -> None:
+        """Drain an upstream server, or let it take requests again.
+
+        :raises NotFound: when no pool has the server.
+        :raises StoreError: when the store does not answer.
+        """
+        pools = self._state.rules.pools.values()
+        if not any(server in pool.servers for pool in pools):
+            raise NotFound(
+                f"no pool has the server '{server}'; see 'gypsummount status'"
+            )
+
+        def change(value: bytes | None) -> bytes | None:
+            document = read_drains(value)
+            servers = set(document.servers)
+            before = set(servers)
+            servers.discard(server)
+            if not restore:
+                servers.add(server)
+            if servers == before:
+                return None
+            document.servers = sorted(servers)
+            document.serial += 1
+            return write_document(document)
+
+        written = await update_object(self._store, DRAINS_OBJECT, change)
+        self._state.note_contact()
+        self._state.take_drains(read_drains(written.value))
+
+    async def start_rollout(self, name: str) -> RolloutState:
+        """Start a new attempt of a rollout.
+
+        :raises NotFound: when there is no such rollout rule.
+        :raises ChartError: while an attempt is moving.
+        :raises StoreError: when the store does not answer.
+        """
+        return await self._change_rollout(name, start_rollout)
+
+    async def recall_rollout(self, name: str) -> RolloutState:
+        """Take a moving rollout back.
+
+        :raises NotFound: when there is no such rollout rule.
+        :raises ChartError: unless an attempt is moving.
+        :raises StoreError: when the store does not answer.
+        """
+        return await self._change_rollout(
+            name, lambda state: recall_rollout(state, "by an operator")
+        )
+
+    async def _change_rollout(self, name: str, step) -> RolloutState:  # noqa: ANN001
+        if name not in self._state.rules.rollouts:
+            raise NotFound(f"no rollout '{name}'; add a rollout rule first")
+        writer = token_hex(WRITER_BYTES)
+
+        def change(value: bytes | None) -> bytes | None:
+            document = read_rollouts(value)
+            following = step(document.find(name))
+            return write_rollout(document, following, writer)
+
+        written = await update_object(self._store, ROLLOUTS_OBJECT, change)
+        document = read_rollouts(written.value)
+        self._state.note_contact()
+        self._state.take_rollouts(document)
+        return document.find(name)
+
+    async def _update_keys(self, change) -> None:  # noqa: ANN001
+        written = await update_object(self._store, KEYS_OBJECT, change)
+        self._state.note_contact()
+        self._state.take_keys(read_keys(written.value))
+
+
+def _write_keys(document: KeysDocument) -> bytes:
+    document.serial += 1
+    document.writer = token_hex(WRITER_BYTES)
+    return write_document(document)
+
+
+def _check_config(text: str) -> None:
+    if len(text.encode()) > MAX_VALUE_BYTES // 2:
+        raise ConfigError(
+            "the rule file is larger than 500,000 bytes; shorten it"
+        )
+    faults = check_text(text).faults
+    if faults:
+        lines = "; ".join(
+            f"line {fault.line}, column {fault.column}: {fault.text}"
+            for fault in faults
+        )
+        raise ConfigError(lines)
--- /dev/null
+++ b/src/gypsummount/_agent/platform.py
@@ -0,0 +1,83 @@
+"""The platform's lagging list of live and leaving instances."""
+
+from json import JSONDecodeError
+from json import loads
+
+from tornado.httpclient import HTTPClientError
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from gypsummount._agent.state import AgentState
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._common.logs import get_logger
+
+POLL_PERIOD_S = 1.0
+CALL_LIMIT_S = 2.0
+MAX_GAP_S = 5.0
+
+_log = get_logger("platform")
+
+
+class LiveList:
+    """Polls the list; an unread list proves nothing."""
+
+    def __init__(self, state: AgentState) -> None:
+        self._state = state
+        self._client = SimpleAsyncHTTPClient(force_instance=True)
+        self._read_at: float | None = None
+
+    def close(self) -> None:
+        """Release the connections."""
+        self._client.close()
+
+    async def poll(self) -> None:
+        """Read the list once."""
+        address = self._state.settings.live_list
+        if not address:
+            return
+        try:
+            response = await self._client.fetch(
+                f"http://{address}/live", request_timeout=CALL_LIMIT_S
+            )
+            rows = loads(response.body)
+        except (HTTPClientError, OSError, JSONDecodeError):
+            return
+        self._take(rows)
+
+    def _take(self, rows: list[dict[str, str]]) -> None:
+        now = read_monotonic()
+        state = self._state
+        if self._read_at is None or now - self._read_at > MAX_GAP_S:
+            # Absence must be seen without a gap to prove anything.
+            state.gone_since.clear()
+        self._read_at = now
+        instances = {
+            row["name"]: row["address"]
+            for row in rows
+            if row["kind"] == "instance"
+        }
+        state.listed_leaving = frozenset(
+            row["address"]
+            for row in rows
+            if row["kind"] == "upstream" and row["state"] == "leaving"
+        )
+        state.listed = instances
+        self._note_gone(instances, now)
+
+    def _note_gone(self, instances: dict[str, str], now: float) -> None:
+        gone_since = self._state.gone_since
+        registered = {
+            holder.instance
+            for copy in self._state.ledgers.values()
+            for holder in copy.ledger.holders.values()
+        }
+        if not instances:
+            # An empty list is a fault of the list, not of the fleet.
+            gone_since.clear()
+            return
+        for name in registered - instances.keys():
+            if name not in gone_since:
+                gone_since[name] = now
+                _log.warning("Instance %s left the platform's list.", name)
+        for name in list(gone_since):
+            if name in instances or name not in registered:
+                del gone_since[name]
--- /dev/null
+++ b/src/gypsummount/_agent/process.py
@@ -0,0 +1,111 @@
+"""One agent: its parts and its planned stop."""
+
+from asyncio import Event
+from asyncio import sleep
+from contextlib import AsyncExitStack
+from random import Random
+from secrets import token_hex
+
+from gypsummount._agent.admin import open_admin
+from gypsummount._agent.driving import RolloutDriver
+from gypsummount._agent.gossip import Gossip
+from gypsummount._agent.gossip import GOSSIP_PERIOD_S
+from gypsummount._agent.keeping import LedgerKeeper
+from gypsummount._agent.operations import Operations
+from gypsummount._agent.platform import LiveList
+from gypsummount._agent.platform import POLL_PERIOD_S
+from gypsummount._agent.service import AgentService
+from gypsummount._agent.state import AgentSettings
+from gypsummount._agent.state import AgentState
+from gypsummount._agent.watching import Watches
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._common.logs import get_logger
+from gypsummount._common.rpc import Channels
+from gypsummount._common.rpc import open_server
+from gypsummount._common.rpc import start_server
+from gypsummount._common.settings import bind_address
+from gypsummount._common.tasks import repeat
+from gypsummount._common.tasks import start_task
+from gypsummount._proto.peer_pb2_grpc import add_AgentServicer_to_server
+from gypsummount._store.http import HttpStore
+
+INCARNATION_BYTES = 6
+LEDGER_PERIOD_S = 0.5
+ROLLOUT_PERIOD_S = 0.25
+POLL_S = 0.1
+
+_log = get_logger("agent")
+
+
+class AgentProcess:
+    """An agent that runs until it is told to stop."""
+
+    def __init__(self, settings: AgentSettings) -> None:
+        self._settings = settings
+        self._stopping = Event()
+        incarnation = token_hex(INCARNATION_BYTES)
+        self._random = Random(incarnation)
+        self.state = AgentState(settings, incarnation)
+        self._channels = Channels()
+        self._store = HttpStore(settings.store)
+        self._gossip = Gossip(self.state, self._channels, self._random)
+        self._keeper = LedgerKeeper(self.state, self._store)
+        self._driver = RolloutDriver(self.state, self._store)
+        self._watches = Watches(self.state, self._store, self._random)
+        self._live_list = LiveList(self.state)
+        self.operations = Operations(self.state, self._store)
+
+    def stop(self) -> None:
+        """Ask for a planned stop."""
+        self._stopping.set()
+
+    async def run(self) -> None:
+        """Run until asked to stop and the entries have left."""
+        async with AsyncExitStack() as stack:
+            await self._start(stack)
+            await self._stopping.wait()
+            await self._leave()
+
+    async def _start(self, stack: AsyncExitStack) -> None:
+        settings = self._settings
+        sockets = bind_address("--admin-listen", settings.admin_listen)
+        server = open_server("--listen", settings.listen)
+        service = AgentService(self.state, self._gossip, self._store)
+        add_AgentServicer_to_server(service, server)
+        stack.push_async_callback(self._store.close)
+        stack.push_async_callback(self._channels.close)
+        stack.callback(self._live_list.close)
+        await start_server(stack, server)
+        admin = open_admin(self.state, self.operations, sockets)
+        stack.push_async_callback(admin.close_all_connections)
+        stack.callback(admin.stop)
+        self._start_tasks(stack)
+        _log.info("Listening on %s.", settings.listen)
+
+    def _start_tasks(self, stack: AsyncExitStack) -> None:
+        scopes = self._keeper.list_scopes()
+        for name in self._watches.list_names(scopes):
+            start_task(stack, self._watches.follow(name), f"watch {name}")
+        steps = (
+            (self._gossip.run_round, GOSSIP_PERIOD_S, "gossip"),
+            (self._live_list.poll, POLL_PERIOD_S, "live list"),
+            (self._keeper.reconcile, LEDGER_PERIOD_S, "ledgers"),
+            (self._driver.drive, ROLLOUT_PERIOD_S, "rollouts"),
+        )
+        for step, period_s, name in steps:
+            start_task(stack, repeat(step, period_s, name), name)
+
+    async def _leave(self) -> None:
+        """Outlive the entries that are leaving, to retire their shares."""
+        until = read_monotonic() + self._settings.stop_limit_s
+        _log.info("Leaving once the entries have left.")
+        while self._has_leaving_entry() and read_monotonic() < until:
+            await sleep(POLL_S)
+        await self._keeper.reconcile()
+        _log.info("Left.")
+
+    def _has_leaving_entry(self) -> bool:
+        return any(
+            entry.report.entry.phase == "leaving"
+            for entry in self.state.list_fresh_entries()
+        )
--- /dev/null
+++ b/src/gypsummount/_agent/state.py
@@ -0,0 +1,269 @@
+"""What an agent knows: documents, members, entries and freshness."""
+
+from asyncio import Event
+from dataclasses import dataclass
+from dataclasses import field
+
+from gypsummount._agent.documents import ConfigDocument
+from gypsummount._agent.documents import DrainsDocument
+from gypsummount._agent.documents import KeysDocument
+from gypsummount._agent.documents import RolloutsDocument
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._common.wire import unpack_entry
+from gypsummount._common.wire import unpack_veto
+from gypsummount._config.model import RuleSet
+from gypsummount._config.parser import load_rules
+from gypsummount._core.charts import Machine
+from gypsummount._core.ledger import HolderState
+from gypsummount._core.ledger import Ledger
+from gypsummount._core.membership import EntryInfo
+from gypsummount._core.membership import Member
+from gypsummount._core.membership import MemberTable
+from gypsummount._core.membership import NEVER_S
+from gypsummount._core.naming import WORKSPACES_SCOPE
+from gypsummount._core.rollouts import RolloutWatch
+from gypsummount._core.rollouts import Veto
+from gypsummount._proto import peer_pb2
+
+ENTRY_SILENT_S = 2.5
+
+
+@dataclass(slots=True, frozen=True)
+class AgentSettings:
+    """Settings of an agent process; times are in seconds."""
+
+    instance: str
+    domain: str
+    region: str
+    listen: str
+    admin_listen: str
+    store: str
+    live_list: str
+    seeds: tuple[str, ...]
+    pepper: bytes
+    operator_token: str
+    live_lag_s: float = 15.0
+    stop_limit_s: float = 60.0
+
+
+@dataclass(slots=True)
+class AttachedEntry:
+    """An entry of this instance, as it reported last.
+
+    ``suspended_at`` is when its count of pauses was first heard.
+    """
+
+    report: peer_pb2.EntryReport
+    at: float
+    suspended_at: float
+
+    @property
+    def holder(self) -> str:
+        """Return the entry's incarnation, its name in ledgers."""
+        return self.report.holder
+
+    @property
+    def info(self) -> EntryInfo:
+        """Return what others may know of the entry."""
+        return unpack_entry(self.report.entry)
+
+
+@dataclass(slots=True)
+class LedgerCopy:
+    """A ledger as read, with the time (s) when the read began."""
+
+    ledger: Ledger
+    read_at: float
+
+
+@dataclass(slots=True)
+class RolloutWatches:
+    """One watch for each rollout that was ever started."""
+
+    by_name: dict[str, RolloutWatch] = field(default_factory=dict)
+
+    def take(self, document: RolloutsDocument, now: float) -> bool:
+        """Take newer states; tell whether there were any."""
+        changed = False
+        for state in document.states:
+            watch = self.by_name.get(state.name)
+            if watch is None:
+                self.by_name[state.name] = RolloutWatch(state, now)
+                changed = True
+            else:
+                changed = watch.take(state, now) or changed
+        return changed
+
+
+class AgentState:
+    """Shared by the tasks of one agent, all on one event loop."""
+
+    def __init__(self, settings: AgentSettings, incarnation: str) -> None:
+        now = read_monotonic()
+        self.settings = settings
+        self.contact = Machine("contact")
+        self.contact_at = now - NEVER_S
+        self.config = ConfigDocument()
+        self.keys = KeysDocument()
+        self.drains = DrainsDocument()
+        self.rules = RuleSet()
+        self.rollouts = RolloutWatches()
+        self.ledgers: dict[str, LedgerCopy] = {}
+        self.entries: dict[str, AttachedEntry] = {}
+        self.listed_leaving: frozenset[str] = frozenset()
+        self.listed: dict[str, str] = {}
+        self.gone_since: dict[str, float] = {}
+        self.phase = "serving"
+        self.changed = Event()
+        own = Member(
+            settings.instance,
+            incarnation,
+            int(now * 1000),
+            0,
+            settings.domain,
+            settings.region,
+            settings.listen,
+            self.phase,
+        )
+        self.members = MemberTable(own)
+
+    def notify(self) -> None:
+        """Wake everyone who waits for a change."""
+        self.changed.set()
+        self.changed = Event()
+
+    def note_contact(self) -> None:
+        """Record an answer of the store."""
+        self.contact_at = read_monotonic()
+        if self.contact.can_fire("answered"):
+            self.contact.fire("answered")
+
+    def note_no_contact(self) -> bool:
+        """Record a failed call; tell whether contact was just lost."""
+        if not self.contact.can_fire("failed"):
+            return False
+        self.contact.fire("failed")
+        return True
+
+    def take_config(self, document: ConfigDocument) -> bool:
+        """Take a configuration of a higher serial."""
+        if document.serial <= self.config.serial:
+            return False
+        self.rules = load_rules(document.text)
+        self.config = document
+        self.notify()
+        return True
+
+    def take_keys(self, document: KeysDocument) -> bool:
+        """Take keys of a higher serial."""
+        if document.serial <= self.keys.serial:
+            return False
+        self.keys = document
+        self.notify()
+        return True
+
+    def take_drains(self, document: DrainsDocument) -> None:
+        """Take drains of a higher serial."""
+        if document.serial > self.drains.serial:
+            self.drains = document
+            self.notify()
+
+    def take_rollouts(self, document: RolloutsDocument) -> None:
+        """Take newer states of rollouts."""
+        if self.rollouts.take(document, read_monotonic()):
+            self.notify()
+
+    def take_ledger(self, ledger: Ledger, read_at: float) -> None:
+        """Take a ledger that is at least as new as the known one."""
+        known = self.ledgers.get(ledger.scope)
+        if known is not None and ledger.seq < known.ledger.seq:
+            return
+        self.ledgers[ledger.scope] = LedgerCopy(ledger, read_at)
+        if known is None or ledger.seq > known.ledger.seq:
+            self.notify()
+
+    def take_report(self, report: peer_pb2.EntryReport) -> None:
+        """Take an entry's report."""
+        known = self.entries.get(report.entry.name)
+        now = read_monotonic()
+        suspended_at = now
+        if known is not None and known.report.holder == report.holder:
+            if known.report.suspensions == report.suspensions:
+                suspended_at = known.suspended_at
+        entry = AttachedEntry(report, now, suspended_at)
+        self.entries[report.entry.name] = entry
+        vetoes = {unpack_veto(veto) for veto in report.vetoes}
+        news = bool(vetoes - set(self.members.own.vetoes))
+        moved = (
+            known is None
+            or known.report.entry.phase != report.entry.phase
+            or known.holder != report.holder
+        )
+        if news or moved:
+            self.refresh_own()
+            self.notify()
+
+    def list_fresh_entries(self) -> list[AttachedEntry]:
+        """Return the entries that reported lately and have not left."""
+        now = read_monotonic()
+        return [
+            entry
+            for entry in self.entries.values()
+            if now - entry.at <= ENTRY_SILENT_S and not entry.report.retired
+        ]
+
+    def list_vetoes(self) -> set[Veto]:
+        """Return the vetoes of this agent's entries and of all peers."""
+        return self.members.collect_vetoes()
+
+    def list_draining(self) -> frozenset[str]:
+        """Return the upstreams that get no new work."""
+        return frozenset(self.drains.servers) | self.listed_leaving
+
+    def refresh_own(self) -> None:
+        """Bring the own member record up to date."""
+        now = read_monotonic()
+        entries = self.list_fresh_entries()
+        vetoes = set(self.members.own.vetoes)
+        for entry in entries:
+            for veto in entry.report.vetoes:
+                vetoes.add(unpack_veto(veto))
+        serials = [entry.report.config_serial for entry in entries]
+        keys = [entry.report.keys_serial for entry in entries]
+        own = self.members.own
+        self.members.update_own(
+            Member(
+                own.instance,
+                own.incarnation,
+                own.started,
+                own.beat,
+                own.domain,
+                own.region,
+                own.address,
+                self.phase,
+                min([self.config.serial, *serials]),
+                min([self.keys.serial, *keys]),
+                now - self.contact_at,
+                tuple(entry.info for entry in entries),
+                tuple(sorted(vetoes)),
+            )
+        )
+
+    def may_keys_be_stale(self) -> bool:
+        """Tell whether a withdrawal may have been missed for too long.
+
+        When every registered instance is in reach and none has contact,
+        the store itself is down, and nobody can write a withdrawal.
+        """
+        now = read_monotonic()
+        age_s = self.members.find_store_age(now)
+        if age_s <= self.rules.key_policy.stale_s:
+            return False
+        copy = self.ledgers.get(WORKSPACES_SCOPE)
+        if copy is None:
+            return True
+        return not all(
+            self.members.is_alive(holder.instance, now)
+            for holder in copy.ledger.holders.values()
+            if holder.state is HolderState.ACTIVE
+        )
--- /dev/null
+++ b/src/gypsummount/_agent/status.py
@@ -0,0 +1,163 @@
+"""Views for operators: status, metrics and explanations."""
+
+from dataclasses import asdict
+
+from gypsummount._agent.state import AgentState
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._core.ledger import Ledger
+from gypsummount._core.lookups import Place
+from gypsummount._core.lookups import rank_entries
+from gypsummount._core.rollouts import find_share
+
+Json = dict[str, object]
+
+
+def build_status(state: AgentState) -> Json:
+    """Return the state of the fleet as this agent sees it."""
+    now = read_monotonic()
+    return {
+        "instance": state.settings.instance,
+        "phase": state.phase,
+        "config_serial": state.config.serial,
+        "keys_serial": state.keys.serial,
+        "store": {
+            "contact": state.contact.state,
+            "age_s": round(now - state.contact_at, 3),
+            "fleet_age_s": round(state.members.find_store_age(now), 3),
+            "keys_may_be_stale": state.may_keys_be_stale(),
+        },
+        "members": [
+            {
+                "instance": member.instance,
+                "domain": member.domain,
+                "region": member.region,
+                "phase": member.phase,
+                "alive": state.members.is_alive(member.instance, now),
+                "config_serial": member.config_serial,
+                "keys_serial": member.keys_serial,
+                "entries": [asdict(entry) for entry in member.entries],
+            }
+            for member in (state.members.own, *state.members.list_known())
+        ],
+        "leaving_upstreams": sorted(state.list_draining()),
+        "rollouts": _list_rollouts(state, now),
+        "ledgers": [
+            _describe_ledger(copy.ledger) for copy in state.ledgers.values()
+        ],
+    }
+
+
+def build_metrics(state: AgentState) -> Json:
+    """Return counters and latencies of this instance's entries."""
+    return {
+        "entries": [
+            {
+                "name": entry.report.entry.name,
+                "counts": {
+                    count.name: count.value for count in entry.report.counts
+                },
+                "latencies": [
+                    {
+                        "workspace": row.workspace,
+                        "route": row.route,
+                        "count": row.count,
+                        "p50_ms": round(row.p50_ms, 3),
+                        "p99_ms": round(row.p99_ms, 3),
+                        "max_ms": round(row.max_ms, 3),
+                    }
+                    for row in entry.report.series
+                ],
+            }
+            for entry in state.entries.values()
+        ]
+    }
+
+
+def explain(state: AgentState, method: str, path: str, workspace: str) -> Json:
+    """Return why a request would go where it goes."""
+    route = state.rules.find_route(method, path)
+    if route is None:
+        return {"route": None, "reason": f"no route takes {method} {path}"}
+    known = state.rules.workspaces.get(workspace)
+    place = Place(state.settings.domain, state.settings.region)
+    alive = state.members.list_alive(read_monotonic())
+    return {
+        "route": route.prefix,
+        "service": route.service,
+        "repeatable": route.repeatable,
+        "access": route.access.value,
+        "workspace": asdict(known) if known else None,
+        "versions": _list_shares(state, route.service),
+        "entries": [
+            asdict(entry) for entry in rank_entries(alive, workspace, place)
+        ],
+        "slots": [
+            {
+                "domain": member.domain,
+                "entry": entry.name,
+                "free_for_others": load.free,
+                "slots": load.total,
+            }
+            for member in alive
+            for entry in member.entries
+            if (load := entry.find_load(route.service))
+        ],
+    }
+
+
+def _list_rollouts(state: AgentState, now: float) -> list[Json]:
+    rows: list[Json] = []
+    for name, plan in state.rules.rollouts.items():
+        watch = state.rollouts.by_name.get(name)
+        if watch is None:
+            rows.append({"name": name, "phase": "idle"})
+            continue
+        remaining_s = None
+        if watch.state.phase == "moving":
+            remaining_s = round(watch.find_remaining(plan, now), 1)
+        rows.append(
+            {
+                "name": name,
+                "phase": watch.state.phase,
+                "attempt": watch.state.attempt,
+                "step": watch.state.step,
+                "share": find_share(plan, watch.state),
+                "reason": watch.state.reason,
+                "remaining_s": remaining_s,
+            }
+        )
+    return rows
+
+
+def _list_shares(state: AgentState, service: str) -> list[Json]:
+    for plan in state.rules.rollouts.values():
+        if plan.service != service:
+            continue
+        watch = state.rollouts.by_name.get(plan.name)
+        share = find_share(plan, watch.state) if watch else 0.0
+        return [
+            {"version": plan.old, "share": round(1 - share, 6)},
+            {"version": plan.new, "share": share},
+        ]
+    versions = sorted(
+        pool.version
+        for pool in state.rules.pools.values()
+        if pool.service == service
+    )
+    return [{"version": versions[0], "share": 1.0}] if versions else []
+
+
+def _describe_ledger(ledger: Ledger) -> Json:
+    return {
+        "scope": ledger.scope,
+        "seq": ledger.seq,
+        "config_serial": ledger.config_serial,
+        "holders": [
+            {
+                "holder": holder.name,
+                "place": holder.place,
+                "state": holder.state.value,
+            }
+            for holder in ledger.holders.values()
+        ],
+    }
--- /dev/null
+++ b/src/gypsummount/_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's command line."""
--- /dev/null
+++ b/src/gypsummount/_cli/client.py
@@ -0,0 +1,139 @@
+"""Client of the administration API; tries each agent in turn."""
+
+from json import dumps
+from json import loads
+from urllib.parse import quote
+from urllib.parse import urlencode
+
+from tornado.httpclient import HTTPClientError
+from tornado.httpclient import HTTPRequest
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from gypsummount.errors import GypsummountError
+
+CALL_LIMIT_S = 10.0
+Json = dict[str, object]
+
+
+class AdminUnreachable(GypsummountError):
+    """No agent answered."""
+
+    code = "admin_unreachable"
+
+
+class AdminRefused(GypsummountError):
+    """An agent refused a call."""
+
+    code = "admin_refused"
+
+
+class AdminClient:
+    """Calls the first agent that answers."""
+
+    def __init__(self, addresses: tuple[str, ...], token: str) -> None:
+        self._addresses = addresses
+        self._token = token
+        self._client = SimpleAsyncHTTPClient(force_instance=True)
+
+    def close(self) -> None:
+        """Release the connections."""
+        self._client.close()
+
+    async def read_status(self) -> Json:
+        """Return the fleet's state."""
+        return await self._call("GET", "/v1/status")
+
+    async def read_metrics(self) -> Json:
+        """Return counters and latencies."""
+        return await self._call("GET", "/v1/metrics")
+
+    async def read_config(self) -> Json:
+        """Return the configuration in force."""
+        return await self._call("GET", "/v1/config")
+
+    async def apply(self, text: str, base_serial: int, writer: str) -> Json:
+        """Apply a configuration; a repeated call applies it once."""
+        body = {"text": text, "base_serial": base_serial, "writer": writer}
+        return await self._call("PUT", "/v1/config", body)
+
+    async def explain(self, method: str, path: str, workspace: str) -> Json:
+        """Return why a request would go where it goes."""
+        query = urlencode(
+            {"method": method, "path": path, "workspace": workspace}
+        )
+        return await self._call("GET", f"/v1/explain?{query}")
+
+    async def list_keys(self) -> Json:
+        """Return the granted keys, without the keys themselves."""
+        return await self._call("GET", "/v1/keys")
+
+    async def grant_key(
+        self, workspace: str, asked_by: str, ends_in_s: float
+    ) -> Json:
+        """Grant a key; not repeated, since each call grants one."""
+        body = {
+            "workspace": workspace,
+            "asked_by": asked_by,
+            "ends_in_s": ends_in_s,
+        }
+        return await self._call("POST", "/v1/keys", body, once=True)
+
+    async def withdraw_key(self, key_id: str) -> Json:
+        """Withdraw a key."""
+        return await self._call("DELETE", f"/v1/keys/{quote(key_id)}")
+
+    async def drain(self, server: str, *, restore: bool) -> Json:
+        """Drain an upstream server, or restore it."""
+        method = "DELETE" if restore else "PUT"
+        return await self._call(method, f"/v1/drains/{quote(server)}")
+
+    async def change_rollout(self, name: str, verb: str) -> Json:
+        """Start a rollout or take it back."""
+        path = f"/v1/rollouts/{quote(name)}/{verb}"
+        return await self._call("POST", path, {}, once=True)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: Json | None = None,
+        *,
+        once: bool = False,
+    ) -> Json:
+        failures = []
+        for address in self._addresses:
+            request = HTTPRequest(
+                f"http://{address}{path}",
+                method=method,
+                headers={"Authorization": f"Bearer {self._token}"},
+                body=dumps(body).encode() if body is not None else None,
+                allow_nonstandard_methods=True,
+                connect_timeout=2.0,
+                request_timeout=CALL_LIMIT_S,
+            )
+            try:
+                response = await self._client.fetch(request, raise_error=False)
+            except ConnectionRefusedError:
+                failures.append(f"{address}: refused")
+                continue
+            except (HTTPClientError, OSError) as error:
+                failures.append(f"{address}: {error}")
+                if once:
+                    break
+                continue
+            if response.code < 400:
+                return loads(response.body)
+            if response.code == 503 and not once:
+                failures.append(f"{address}: {_read_message(response.body)}")
+                continue
+            raise AdminRefused(_read_message(response.body))
+        raise AdminUnreachable(
+            f"no agent did it ({'; '.join(failures)}); check --admin"
+        )
+
+
+def _read_message(body: bytes) -> str:
+    try:
+        return str(loads(body)["message"])
+    except (ValueError, KeyError, TypeError):
+        return "the agent's answer cannot be read; check --admin"
--- /dev/null
+++ b/src/gypsummount/_common/__init__.py
@@ -0,0 +1,1 @@
+"""Settings, logs and metrics shared by the programs."""
--- /dev/null
+++ b/src/gypsummount/_common/metrics.py
@@ -0,0 +1,107 @@
+"""Counters to statsd and latency histograms by workspace and route."""
+
+from dataclasses import dataclass
+
+from hdrh.histogram import HdrHistogram
+from statsd import StatsClient
+
+LOWEST_US = 1
+HIGHEST_US = 120_000_000
+DIGITS = 2
+US_PER_S = 1_000_000
+US_PER_MS = 1000
+MAX_SERIES = 2000
+
+
+@dataclass(slots=True, frozen=True)
+class Series:
+    """The workspace and route that a histogram belongs to."""
+
+    workspace: str
+    route: str
+
+
+@dataclass(slots=True, frozen=True)
+class LatencySummary:
+    """Latency of one series in milliseconds."""
+
+    workspace: str
+    route: str
+    count: int
+    p50_ms: float
+    p99_ms: float
+    max_ms: float
+
+
+class Metrics:
+    """Counts events and records latencies; sends counts by statsd.
+
+    Histograms are kept for at most :data:`MAX_SERIES` series; further
+    ones share the series ``other``.
+    """
+
+    __slots__ = ("_client", "_counts", "_histograms", "_sent")
+
+    def __init__(self, statsd_address: str | None, prefix: str) -> None:
+        self._counts: dict[str, int] = {}
+        self._sent: dict[str, int] = {}
+        self._histograms: dict[Series, HdrHistogram] = {}
+        self._client: StatsClient | None = None
+        if statsd_address:
+            host, _, port = statsd_address.rpartition(":")
+            self._client = StatsClient(host, int(port), prefix=prefix)
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Count an event."""
+        self._counts[name] = self._counts.get(name, 0) + amount
+
+    def read_counts(self) -> dict[str, int]:
+        """Return all counts since the start."""
+        return dict(self._counts)
+
+    def record(self, series: Series, latency_s: float) -> None:
+        """Record one latency in seconds."""
+        histogram = self._histograms.get(series)
+        if histogram is None:
+            if len(self._histograms) >= MAX_SERIES:
+                series = Series("other", "other")
+            histogram = self._histograms.setdefault(
+                series, HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+            )
+        value = int(latency_s * US_PER_S)
+        histogram.record_value(max(LOWEST_US, min(value, HIGHEST_US)))
+
+    def summarise(self) -> list[LatencySummary]:
+        """Return a summary of every series, by name."""
+        ranked = sorted(
+            self._histograms.items(),
+            key=lambda row: (row[0].workspace, row[0].route),
+        )
+        return [
+            LatencySummary(
+                series.workspace,
+                series.route,
+                histogram.get_total_count(),
+                histogram.get_value_at_percentile(50) / US_PER_MS,
+                histogram.get_value_at_percentile(99) / US_PER_MS,
+                histogram.get_max_value() / US_PER_MS,
+            )
+            for series, histogram in ranked
+        ]
+
+    def flush(self) -> None:
+        """Send what was counted since the last call."""
+        if self._client is None:
+            return
+        with self._client.pipeline() as pipe:
+            for name, value in self._counts.items():
+                fresh = value - self._sent.get(name, 0)
+                if fresh:
+                    pipe.incr(name, fresh)
+                self._sent[name] = value
+
+    def close(self) -> None:
+        """Send the rest and close the socket."""
+        self.flush()
+        if self._client is not None:
+            self._client.close()
--- /dev/null
+++ b/src/gypsummount/_common/rpc.py
@@ -0,0 +1,94 @@
+"""gRPC servers and channels between the system's own processes."""
+
+from contextlib import AsyncExitStack
+
+from grpc.aio import Channel
+from grpc.aio import insecure_channel
+from grpc.aio import Server
+from grpc.aio import server as create_server
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount.errors import SettingError
+
+MAX_MESSAGE_BYTES = 32 * 1024 * 1024
+CALL_LIMIT_S = 1.0
+STOP_GRACE_S = 0.5
+UNUSED_LIMIT_S = 90.0
+
+_OPTIONS = (
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.so_reuseport", 0),
+    ("grpc.keepalive_time_ms", 5_000),
+    ("grpc.keepalive_timeout_ms", 2_000),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.min_reconnect_backoff_ms", 200),
+    ("grpc.initial_reconnect_backoff_ms", 200),
+    ("grpc.max_reconnect_backoff_ms", 1_000),
+    ("grpc.enable_http_proxy", 0),
+)
+
+
+class Channels:
+    """Keeps one channel to each peer address."""
+
+    __slots__ = ("_channels", "_wanted_at")
+
+    def __init__(self) -> None:
+        self._channels: dict[str, Channel] = {}
+        self._wanted_at: dict[str, float] = {}
+
+    def find(self, address: str) -> Channel:
+        """Return the channel to an address, opened when needed."""
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = insecure_channel(address, options=_OPTIONS)
+            self._channels[address] = channel
+        self._wanted_at[address] = read_monotonic()
+        return channel
+
+    async def close_unused(self, wanted: set[str]) -> None:
+        """Close channels that were unwanted and unused for long.
+
+        A peer that is only out of reach may still be answering a
+        request, so its channel is kept for a while.
+        """
+        now = read_monotonic()
+        for address in list(self._channels):
+            if address in wanted:
+                self._wanted_at[address] = now
+            elif now - self._wanted_at[address] > UNUSED_LIMIT_S:
+                await self._close_one(address)
+
+    async def close(self) -> None:
+        """Close every channel."""
+        for address in list(self._channels):
+            await self._close_one(address)
+
+    async def _close_one(self, address: str) -> None:
+        del self._wanted_at[address]
+        await self._channels.pop(address).close()
+
+
+def open_server(flag: str, address: str) -> Server:
+    """Return a server that is bound but not started.
+
+    :raises SettingError: when the port is taken or not local.
+    """
+    server = create_server(options=_OPTIONS)
+    try:
+        bound = server.add_insecure_port(address)
+    except RuntimeError:
+        bound = 0
+    if bound == 0:
+        raise SettingError(
+            f"{flag}: cannot listen on {address}; stop the other process "
+            "or choose another port"
+        )
+    return server
+
+
+async def start_server(stack: AsyncExitStack, server: Server) -> None:
+    """Start a server that the stack stops when it is closed."""
+    await server.start()
+    stack.push_async_callback(server.stop, STOP_GRACE_S)
--- /dev/null
+++ b/src/gypsummount/_common/wire.py
@@ -0,0 +1,123 @@
+"""Conversion between core data and messages of the peer protocol."""
+
+from gypsummount._core.amounts import Amount
+from gypsummount._core.keys import KeyRecord
+from gypsummount._core.membership import EntryInfo
+from gypsummount._core.membership import Member
+from gypsummount._core.membership import ServiceLoad
+from gypsummount._core.rollouts import Veto
+from gypsummount._proto import peer_pb2
+
+
+def pack_amount(amount: Amount) -> peer_pb2.Amount:
+    """Return the message of an amount."""
+    return peer_pb2.Amount(rate=amount.rate, burst=amount.burst)
+
+
+def unpack_amount(message: peer_pb2.Amount) -> Amount:
+    """Return the amount of a message."""
+    return Amount(message.rate, message.burst)
+
+
+def pack_veto(veto: Veto) -> peer_pb2.Veto:
+    """Return the message of a veto."""
+    return peer_pb2.Veto(
+        rollout=veto.rollout, attempt=veto.attempt, reason=veto.reason
+    )
+
+
+def unpack_veto(message: peer_pb2.Veto) -> Veto:
+    """Return the veto of a message."""
+    return Veto(message.rollout, message.attempt, message.reason)
+
+
+def pack_entry(entry: EntryInfo) -> peer_pb2.EntryInfo:
+    """Return the message of an entry."""
+    return peer_pb2.EntryInfo(
+        name=entry.name,
+        token=entry.token,
+        http_address=entry.http_address,
+        peer_address=entry.peer_address,
+        phase=entry.phase,
+        loads=[
+            peer_pb2.ServiceLoad(
+                service=load.service, free=load.free, total=load.total
+            )
+            for load in entry.loads
+        ],
+    )
+
+
+def unpack_entry(message: peer_pb2.EntryInfo) -> EntryInfo:
+    """Return the entry of a message."""
+    return EntryInfo(
+        message.name,
+        message.token,
+        message.http_address,
+        message.peer_address,
+        message.phase,
+        tuple(
+            ServiceLoad(load.service, load.free, load.total)
+            for load in message.loads
+        ),
+    )
+
+
+def pack_member(member: Member) -> peer_pb2.Member:
+    """Return the message of a member."""
+    return peer_pb2.Member(
+        instance=member.instance,
+        incarnation=member.incarnation,
+        started=member.started,
+        beat=member.beat,
+        domain=member.domain,
+        region=member.region,
+        address=member.address,
+        phase=member.phase,
+        config_serial=member.config_serial,
+        keys_serial=member.keys_serial,
+        store_age_s=member.store_age_s,
+        entries=[pack_entry(entry) for entry in member.entries],
+        vetoes=[pack_veto(veto) for veto in member.vetoes],
+    )
+
+
+def unpack_member(message: peer_pb2.Member) -> Member:
+    """Return the member of a message."""
+    return Member(
+        message.instance,
+        message.incarnation,
+        message.started,
+        message.beat,
+        message.domain,
+        message.region,
+        message.address,
+        message.phase,
+        message.config_serial,
+        message.keys_serial,
+        message.store_age_s,
+        tuple(unpack_entry(entry) for entry in message.entries),
+        tuple(unpack_veto(veto) for veto in message.vetoes),
+    )
+
+
+def pack_key(record: KeyRecord) -> peer_pb2.KeyRecord:
+    """Return the message of a key record."""
+    return peer_pb2.KeyRecord(
+        key_id=record.key_id,
+        workspace=record.workspace,
+        digest=record.digest,
+        ends_at=record.ends_at,
+        asked_by=record.asked_by,
+    )
+
+
+def unpack_key(message: peer_pb2.KeyRecord) -> KeyRecord:
+    """Return the key record of a message."""
+    return KeyRecord(
+        message.key_id,
+        message.workspace,
+        message.digest,
+        message.ends_at,
+        message.asked_by,
+    )
--- /dev/null
+++ b/src/gypsummount/_config/__init__.py
@@ -0,0 +1,1 @@
+"""Rule files - grammar, model, checks and differences."""
--- /dev/null
+++ b/src/gypsummount/_config/changes.py
@@ -0,0 +1,51 @@
+"""Differences between two configurations, rule by rule."""
+
+from dataclasses import dataclass
+from dataclasses import fields
+from enum import Enum
+
+from gypsummount._config.model import RuleSet
+
+
+class ChangeKind(Enum):
+    """What happens to a rule."""
+
+    ADDED = "+"
+    REMOVED = "-"
+    CHANGED = "~"
+
+
+@dataclass(slots=True, frozen=True)
+class Change:
+    """One rule that differs between two configurations."""
+
+    kind: ChangeKind
+    family: str
+    name: str
+
+    def describe(self) -> str:
+        """Return the change as one line for the operator."""
+        return f"{self.kind.value} {self.family} {self.name}"
+
+
+def compare_rules(old: RuleSet, new: RuleSet) -> list[Change]:
+    """Return the changes that lead from the old to the new rules."""
+    changes: list[Change] = []
+    for family in fields(RuleSet):
+        before = getattr(old, family.name)
+        after = getattr(new, family.name)
+        for name in sorted(before.keys() | after.keys()):
+            kind = _find_kind(before.get(name), after.get(name))
+            if kind is not None:
+                changes.append(Change(kind, family.name, name))
+    return changes
+
+
+def _find_kind(before: object, after: object) -> ChangeKind | None:
+    if before == after:
+        return None
+    if before is None:
+        return ChangeKind.ADDED
+    if after is None:
+        return ChangeKind.REMOVED
+    return ChangeKind.CHANGED
--- /dev/null
+++ b/src/gypsummount/_config/model.py
@@ -0,0 +1,173 @@
+"""Typed rules of a configuration."""
+
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+
+
+class Access(Enum):
+    """Who may use a route."""
+
+    KEYED = "keyed"
+    OPEN = "open"
+
+
+class StalePolicy(Enum):
+    """What a keyed route does when withdrawals may be missed."""
+
+    SERVE = "serve"
+    REFUSE = "refuse"
+
+
+@dataclass(slots=True, frozen=True)
+class Domain:
+    """A failure domain inside a region."""
+
+    name: str
+    region: str
+
+
+@dataclass(slots=True, frozen=True)
+class Link:
+    """Capacity between two regions, each way, in bytes per second."""
+
+    name: str
+    first: str
+    second: str
+    bytes_per_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class Service:
+    """A group of upstreams that answer the same requests."""
+
+    name: str
+    timeout_s: float
+    headroom: float
+
+
+@dataclass(slots=True, frozen=True)
+class Route:
+    """A path prefix and how its requests may be treated."""
+
+    prefix: str
+    service: str
+    methods: tuple[str, ...]
+    repeatable: bool
+    access: Access
+    workspace: str | None
+
+
+@dataclass(slots=True, frozen=True)
+class Pool:
+    """Upstreams of one service version in one failure domain."""
+
+    service: str
+    domain: str
+    version: str
+    servers: tuple[str, ...]
+    slots: int
+
+
+@dataclass(slots=True, frozen=True)
+class Workspace:
+    """A workspace with its fleet-wide rate (1/s) and burst."""
+
+    name: str
+    rate: float
+    burst: float
+    weight: float
+
+
+@dataclass(slots=True, frozen=True)
+class ShiftCap:
+    """The largest share that one step of a shift may move."""
+
+    service: str
+    share: float
+
+
+@dataclass(slots=True, frozen=True)
+class RolloutPlan:
+    """How a service moves from one version to another."""
+
+    name: str
+    service: str
+    old: str
+    new: str
+    steps: tuple[float, ...]
+    bake_s: float
+    deadline_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class KeyPolicy:
+    """How long keys are trusted without contact with the store."""
+
+    stale_s: float
+    when_stale: StalePolicy
+
+
+DEFAULT_KEY_POLICY = KeyPolicy(30.0, StalePolicy.SERVE)
+
+
+@dataclass(slots=True)
+class RuleSet:
+    """All rules of one configuration, indexed by name."""
+
+    domains: dict[str, Domain] = field(default_factory=dict)
+    links: dict[str, Link] = field(default_factory=dict)
+    services: dict[str, Service] = field(default_factory=dict)
+    routes: dict[str, Route] = field(default_factory=dict)
+    pools: dict[str, Pool] = field(default_factory=dict)
+    workspaces: dict[str, Workspace] = field(default_factory=dict)
+    caps: dict[str, ShiftCap] = field(default_factory=dict)
+    rollouts: dict[str, RolloutPlan] = field(default_factory=dict)
+    key_policies: dict[str, KeyPolicy] = field(default_factory=dict)
+
+    @property
+    def key_policy(self) -> KeyPolicy:
+        """Return the key policy in force."""
+        return self.key_policies.get("keys", DEFAULT_KEY_POLICY)
+
+    def find_route(self, method: str, path: str) -> Route | None:
+        """Return the route with the longest matching prefix."""
+        best: Route | None = None
+        for route in self.routes.values():
+            if method not in route.methods:
+                continue
+            if not _covers(route.prefix, path):
+                continue
+            if best is None or len(route.prefix) > len(best.prefix):
+                best = route
+        return best
+
+    def region_of(self, domain: str) -> str:
+        """Return the region of a domain, or an empty string."""
+        known = self.domains.get(domain)
+        return known.region if known else ""
+
+    def find_link(self, first: str, second: str) -> Link | None:
+        """Return the link between two regions, in either order."""
+        name = link_name(first, second)
+        return self.links.get(name)
+
+    def count_slots(self, service: str, domain: str) -> int:
+        """Return the slots of a service in a domain, all versions."""
+        return sum(
+            pool.slots * len(pool.servers)
+            for pool in self.pools.values()
+            if pool.service == service and pool.domain == domain
+        )
+
+
+def link_name(first: str, second: str) -> str:
+    """Return the name of a link, independent of direction."""
+    return "~".join(sorted((first, second)))
+
+
+def _covers(prefix: str, path: str) -> bool:
+    if not path.startswith(prefix):
+        return False
+    rest = path[len(prefix) :]
+    return not rest or prefix.endswith("/") or rest.startswith("/")
--- /dev/null
+++ b/src/gypsummount/_config/parser.py
@@ -0,0 +1,349 @@
+"""Parser of rule files: one rule a line, each with who asked for it."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+import re
+
+from gypsummount._config.fields import BITS_PER_BYTE
+from gypsummount._config.fields import BITS_PER_GBIT
+from gypsummount._config.fields import Field
+from gypsummount._config.fields import FieldError
+from gypsummount._config.fields import read_choice
+from gypsummount._config.fields import read_count
+from gypsummount._config.fields import read_flag
+from gypsummount._config.fields import read_methods
+from gypsummount._config.fields import read_name
+from gypsummount._config.fields import read_number
+from gypsummount._config.fields import read_prefix
+from gypsummount._config.fields import read_servers
+from gypsummount._config.fields import read_steps
+from gypsummount._config.fields import RuleForm
+from gypsummount._config.model import Access
+from gypsummount._config.model import Domain
+from gypsummount._config.model import KeyPolicy
+from gypsummount._config.model import Link
+from gypsummount._config.model import link_name
+from gypsummount._config.model import Pool
+from gypsummount._config.model import RolloutPlan
+from gypsummount._config.model import Route
+from gypsummount._config.model import RuleSet
+from gypsummount._config.model import Service
+from gypsummount._config.model import ShiftCap
+from gypsummount._config.model import StalePolicy
+from gypsummount._config.model import Workspace
+from gypsummount.errors import ConfigError
+
+_WORD = re.compile(r"\S+")
+MS_PER_S = 1000
+DAY_S = 86_400
+
+
+@dataclass(slots=True, frozen=True)
+class Fault:
+    """One fault of a rule file, at a line and column from 1."""
+
+    line: int
+    column: int
+    text: str
+
+
+@dataclass(slots=True, frozen=True)
+class Word:
+    """A word of a line and its column from 1."""
+
+    text: str
+    column: int
+
+
+@dataclass(slots=True)
+class ParsedRules:
+    """The outcome of parsing: rules, where each stands, and faults."""
+
+    rules: RuleSet
+    lines: dict[tuple[str, str], int]
+    faults: list[Fault]
+
+
+_SHARE = read_number(low=0.0001, high=1, unit="as a share")
+_NAME = Field(read_name)
+
+FORMS: dict[str, RuleForm] = {
+    "domain": RuleForm(("name",), {"region": _NAME}),
+    "link": RuleForm(
+        ("first", "second"),
+        {"gbits": Field(read_number(low=1e-6, high=1e6, unit="Gbit/s"))},
+    ),
+    "service": RuleForm(
+        ("name",),
+        {
+            "timeout_ms": Field(
+                read_number(low=10, high=60_000, unit="milliseconds")
+            ),
+            "headroom": Field(_SHARE, "0.8"),
+        },
+    ),
+    "route": RuleForm(
+        ("prefix",),
+        {
+            "service": _NAME,
+            "methods": Field(read_methods, "GET"),
+            "repeatable": Field(read_flag),
+            "access": Field(read_choice("keyed", "open"), "keyed"),
+            "workspace": Field(read_name, ""),
+        },
+    ),
+    "pool": RuleForm(
+        ("service",),
+        {
+            "domain": _NAME,
+            "version": _NAME,
+            "servers": Field(read_servers),
+            "slots": Field(read_count),
+        },
+    ),
+    "workspace": RuleForm(
+        ("name",),
+        {
+            "rate": Field(
+                read_number(low=0.01, high=1e8, unit="requests a second")
+            ),
+            "burst": Field(read_number(low=1, high=1e8, unit="requests")),
+            "weight": Field(
+                read_number(low=0.01, high=1000, unit="as a weight"), "1"
+            ),
+        },
+    ),
+    "cap": RuleForm(("service",), {"share": Field(_SHARE)}),
+    "rollout": RuleForm(
+        ("name",),
+        {
+            "service": _NAME,
+            "old": _NAME,
+            "new": _NAME,
+            "steps": Field(read_steps),
+            "bake_s": Field(read_number(low=0.1, high=DAY_S, unit="seconds")),
+            "deadline_s": Field(
+                read_number(low=1, high=7 * DAY_S, unit="seconds")
+            ),
+        },
+    ),
+    "keys": RuleForm(
+        (),
+        {
+            "stale_s": Field(read_number(low=1, high=DAY_S, unit="seconds")),
+            "when_stale": Field(read_choice("serve", "refuse")),
+        },
+    ),
+}
+
+
+def parse_rules(text: str) -> ParsedRules:
+    """Parse a rule file and collect all faults of its lines."""
+    parsed = ParsedRules(RuleSet(), {}, [])
+    for number, line in enumerate(text.splitlines(), start=1):
+        body, mark, comment = line.partition("#")
+        words = [
+            Word(match.group(), match.start() + 1)
+            for match in _WORD.finditer(body)
+        ]
+        if not words:
+            continue
+        if not mark or not comment.strip():
+            parsed.faults.append(
+                Fault(
+                    number,
+                    len(line.rstrip()) + 1,
+                    "nobody is named; end the line with '# who asked'",
+                )
+            )
+        _parse_rule(parsed, number, words)
+    return parsed
+
+
+def load_rules(text: str) -> RuleSet:
+    """Parse a text that has been checked before.
+
+    :raises ConfigError: when the text has a fault after all.
+    """
+    parsed = parse_rules(text)
+    if parsed.faults:
+        first = parsed.faults[0]
+        raise ConfigError(
+            f"line {first.line}: {first.text}; run 'gypsummount check'"
+        )
+    return parsed.rules
+
+
+def _parse_rule(parsed: ParsedRules, line: int, words: list[Word]) -> None:
+    kind = words[0]
+    form = FORMS.get(kind.text)
+    if form is None:
+        known = ", ".join(FORMS)
+        parsed.faults.append(
+            Fault(
+                line,
+                kind.column,
+                f"no rule is called '{kind.text}'; use {known}",
+            )
+        )
+        return
+    before = len(parsed.faults)
+    values = _read_values(parsed.faults, line, kind, form, words[1:])
+    if len(parsed.faults) > before:
+        return
+    name = _add_rule(parsed.rules, kind.text, values)
+    place = (kind.text, name)
+    if place in parsed.lines:
+        parsed.faults.append(
+            Fault(
+                line,
+                kind.column,
+                f"{kind.text} '{name}' stands in line "
+                f"{parsed.lines[place]} too; keep one of them",
+            )
+        )
+        return
+    parsed.lines[place] = line
+
+
+def _read_values(
+    faults: list[Fault],
+    line: int,
+    kind: Word,
+    form: RuleForm,
+    words: list[Word],
+) -> dict[str, object]:
+    values: dict[str, object] = {}
+    plain = [word for word in words if "=" not in word.text]
+    for name, word in zip(form.positional, plain, strict=False):
+        reader = read_prefix if name == "prefix" else read_name
+        _read_value(faults, line, word, name, reader, word.text, values)
+    for name in form.positional[len(plain) :]:
+        faults.append(
+            Fault(line, kind.column, f"{kind.text} lacks its {name}; add it")
+        )
+    for word in plain[len(form.positional) :]:
+        faults.append(
+            Fault(
+                line,
+                word.column,
+                f"'{word.text}' is not expected; write field=value",
+            )
+        )
+    for word in words:
+        if "=" in word.text:
+            _read_field(faults, line, kind, form, word, values)
+    for name, known in form.fields.items():
+        if name in values:
+            continue
+        if known.default is None:
+            faults.append(
+                Fault(
+                    line,
+                    kind.column,
+                    f"{kind.text} lacks {name}=…; add it",
+                )
+            )
+        elif known.default == "":
+            values[name] = None
+        else:
+            values[name] = known.convert(known.default)
+    return values
+
+
+def _read_field(
+    faults: list[Fault],
+    line: int,
+    kind: Word,
+    form: RuleForm,
+    word: Word,
+    values: dict[str, object],
+) -> None:
+    name, _, text = word.text.partition("=")
+    known = form.fields.get(name)
+    if known is None:
+        names = ", ".join(form.fields)
+        faults.append(
+            Fault(
+                line,
+                word.column,
+                f"{kind.text} has no field '{name}'; use {names}",
+            )
+        )
+        return
+    if name in values:
+        faults.append(
+            Fault(line, word.column, f"{name} stands twice; keep one")
+        )
+        return
+    _read_value(faults, line, word, name, known.convert, text, values)
+
+
+def _read_value(
+    faults: list[Fault],
+    line: int,
+    word: Word,
+    name: str,
+    reader: Callable[[str], object],
+    text: str,
+    values: dict[str, object],
+) -> None:
+    try:
+        values[name] = reader(text)
+    except FieldError as error:
+        values[name] = None
+        faults.append(Fault(line, word.column, f"{name}: {error}"))
+
+
+def _add_rule(rules: RuleSet, kind: str, values: dict[str, object]) -> str:
+    match kind:
+        case "domain":
+            domain = Domain(**values)
+            rules.domains[domain.name] = domain
+            return domain.name
+        case "link":
+            return _add_link(rules, values)
+        case "service":
+            timeout_s = values["timeout_ms"] / MS_PER_S
+            service = Service(values["name"], timeout_s, values["headroom"])
+            rules.services[service.name] = service
+            return service.name
+        case "route":
+            values["access"] = Access(values["access"])
+            route = Route(**values)
+            rules.routes[route.prefix] = route
+            return route.prefix
+        case "pool":
+            pool = Pool(**values)
+            name = f"{pool.service}/{pool.domain}/{pool.version}"
+            rules.pools[name] = pool
+            return name
+        case "workspace":
+            workspace = Workspace(**values)
+            rules.workspaces[workspace.name] = workspace
+            return workspace.name
+        case "cap":
+            cap = ShiftCap(**values)
+            rules.caps[cap.service] = cap
+            return cap.service
+        case "rollout":
+            plan = RolloutPlan(**values)
+            rules.rollouts[plan.name] = plan
+            return plan.name
+        case _:
+            policy = KeyPolicy(
+                values["stale_s"], StalePolicy(values["when_stale"])
+            )
+            rules.key_policies["keys"] = policy
+            return "keys"
+
+
+def _add_link(rules: RuleSet, values: dict[str, object]) -> str:
+    name = link_name(values["first"], values["second"])
+    rules.links[name] = Link(
+        name,
+        values["first"],
+        values["second"],
+        values["gbits"] * BITS_PER_GBIT / BITS_PER_BYTE,
+    )
+    return name
--- /dev/null
+++ b/src/gypsummount/_core/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions without I/O and without a clock of their own."""
--- /dev/null
+++ b/src/gypsummount/_core/fairness.py
@@ -0,0 +1,96 @@
+"""Fair queue of waiting requests: deficit round robin by workspace.
+
+Source: M. Shreedhar and G. Varghese, "Efficient fair queuing using
+deficit round-robin", 1996.
+"""
+
+from collections import deque
+from collections import OrderedDict
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Generic
+from typing import TypeVar
+
+MAX_WAITING = 256
+COST = 1.0
+
+T = TypeVar("T")
+
+
+@dataclass(slots=True)
+class Waiting(Generic[T]):
+    """A waiting request and its latest useful start in seconds."""
+
+    item: T
+    workspace: str
+    expires_at: float
+
+
+@dataclass(slots=True)
+class _Lane(Generic[T]):
+    weight: float
+    deficit: float = 0.0
+    waiting: deque[Waiting[T]] = field(default_factory=deque)
+
+
+class FairQueue(Generic[T]):
+    """Bounded per workspace; drops what can no longer start in time."""
+
+    __slots__ = ("_lanes", "_max_waiting", "expired")
+
+    def __init__(self, *, max_waiting: int = MAX_WAITING) -> None:
+        self._lanes: OrderedDict[str, _Lane[T]] = OrderedDict()
+        self._max_waiting = max_waiting
+        self.expired: list[T] = []
+
+    def __len__(self) -> int:
+        return sum(len(lane.waiting) for lane in self._lanes.values())
+
+    def push(self, entry: Waiting[T], weight: float) -> bool:
+        """Add a request; False when its workspace has too many."""
+        lane = self._lanes.get(entry.workspace)
+        if lane is None:
+            lane = _Lane(weight)
+            self._lanes[entry.workspace] = lane
+        lane.weight = weight
+        if len(lane.waiting) >= self._max_waiting:
+            return False
+        lane.waiting.append(entry)
+        return True
+
+    def remove(self, item: T, workspace: str) -> bool:
+        """Remove a request that no longer waits."""
+        lane = self._lanes.get(workspace)
+        if lane is None:
+            return False
+        for entry in lane.waiting:
+            if entry.item is item:
+                lane.waiting.remove(entry)
+                return True
+        return False
+
+    def pop(self, now: float) -> T | None:
+        """Return the next request; expired ones go to ``expired``."""
+        while self._lanes:
+            name, lane = next(iter(self._lanes.items()))
+            self._drop_expired(lane, now)
+            if not lane.waiting:
+                del self._lanes[name]
+                continue
+            if lane.deficit < COST:
+                lane.deficit += lane.weight
+                if lane.deficit < COST:
+                    self._lanes.move_to_end(name)
+                    continue
+            lane.deficit -= COST
+            entry = lane.waiting.popleft()
+            if not lane.waiting:
+                del self._lanes[name]
+            elif lane.deficit < COST:
+                self._lanes.move_to_end(name)
+            return entry.item
+        return None
+
+    def _drop_expired(self, lane: _Lane[T], now: float) -> None:
+        while lane.waiting and lane.waiting[0].expires_at <= now:
+            self.expired.append(lane.waiting.popleft().item)
--- /dev/null
+++ b/src/gypsummount/_core/health.py
@@ -0,0 +1,136 @@
+"""Passive health of upstreams, from the answers that an entry sees."""
+
+from dataclasses import dataclass
+from math import exp
+
+from gypsummount._core.charts import Machine
+
+FAULTS_TO_EJECT = 5
+SUCCESSES_TO_PROVE = 3
+FIRST_EJECTION_S = 1.0
+LONGEST_EJECTION_S = 30.0
+WARM_UP_S = 10.0
+COLD_SHARE = 0.25
+LATENCY_WEIGHT = 0.1
+MAX_EJECTED_SHARE = 0.5
+REPORT_HALF_LIFE_S = 2.0
+
+
+@dataclass(slots=True)
+class Report:
+    """Load that an upstream reported, in requests, and when (s)."""
+
+    load: float
+    at: float
+
+
+class UpstreamHealth:
+    """Health, warm-up and reported load of one upstream."""
+
+    __slots__ = (
+        "_ejected_until",
+        "_ejections",
+        "_faults",
+        "_machine",
+        "_probe_in_flight",
+        "_report",
+        "_successes",
+        "_warm_from",
+        "latency_s",
+    )
+
+    def __init__(self, now: float, *, cold: bool) -> None:
+        self._machine = Machine("upstream")
+        self._faults = 0
+        self._successes = 0
+        self._ejections = 0
+        self._ejected_until = 0.0
+        self._probe_in_flight = False
+        self._warm_from = now if cold else now - WARM_UP_S
+        self._report: Report | None = None
+        self.latency_s = 0.0
+
+    @property
+    def state(self) -> str:
+        """Return the state of the chart ``upstream``."""
+        return self._machine.state
+
+    def can_take(self, now: float) -> bool:
+        """Tell whether a new request may go to the upstream."""
+        if self.state == "ejected" and now >= self._ejected_until:
+            self._machine.fire("waited")
+            self._successes = 0
+            self._probe_in_flight = False
+        if self.state == "probing":
+            return not self._probe_in_flight
+        return self.state == "healthy"
+
+    def note_start(self) -> None:
+        """Note that a request was given to the upstream."""
+        if self.state == "probing":
+            self._probe_in_flight = True
+
+    def note_release(self) -> None:
+        """Note that a request ended without saying anything of health."""
+        self._probe_in_flight = False
+
+    def note_success(self, latency_s: float, now: float) -> None:
+        """Record a complete answer."""
+        self._faults = 0
+        self._probe_in_flight = False
+        gap = latency_s - self.latency_s
+        self.latency_s += gap * LATENCY_WEIGHT
+        if self.state != "probing":
+            return
+        self._successes += 1
+        if self._successes >= SUCCESSES_TO_PROVE:
+            self._machine.fire("proved")
+            self._ejections = 0
+            self._warm_from = now
+
+    def note_fault(self, now: float, *, may_eject: bool) -> None:
+        """Record a failed, cut or silent exchange."""
+        self._faults += 1
+        self._probe_in_flight = False
+        if self.state == "probing":
+            self._eject(now)
+        elif self.state == "healthy" and may_eject:
+            if self._faults >= FAULTS_TO_EJECT:
+                self._eject(now)
+
+    def note_report(self, report: Report) -> None:
+        """Record the load that came with an answer."""
+        self._report = report
+
+    def note_leaving(self) -> None:
+        """Take the upstream out for good, until it is restored."""
+        if self._machine.can_fire("drained"):
+            self._machine.fire("drained")
+
+    def note_restored(self, now: float) -> None:
+        """Let an upstream that was leaving take requests again."""
+        if self._machine.can_fire("restored"):
+            self._machine.fire("restored")
+            self._successes = 0
+            self._probe_in_flight = False
+            self._warm_from = now
+
+    def find_warmth(self, now: float) -> float:
+        """Return the share of its slots that a cold upstream gets."""
+        passed = max(0.0, now - self._warm_from)
+        ramp = min(1.0, passed / WARM_UP_S)
+        return COLD_SHARE + (1 - COLD_SHARE) * ramp
+
+    def find_reported(self, now: float) -> float:
+        """Return the reported load, faded by the report's age."""
+        if self._report is None:
+            return 0.0
+        age = max(0.0, now - self._report.at)
+        return self._report.load * exp(-age / REPORT_HALF_LIFE_S)
+
+    def _eject(self, now: float) -> None:
+        self._machine.fire("faulted")
+        pause = FIRST_EJECTION_S * 2**self._ejections
+        self._ejected_until = now + min(pause, LONGEST_EJECTION_S)
+        self._ejections += 1
+        self._faults = 0
--- /dev/null
+++ b/src/gypsummount/_core/ledger.py
@@ -0,0 +1,210 @@
+"""The ledger of a group of budgets: who owns which part.
+
+The ledger lives in one object of the store and changes only by
+compare-and-set.  For each budget the granted parts never add up to more
+than the budget: a part is granted to a holder only out of what nobody
+holds, and a lowered target frees its difference only when the holder
+has confirmed it.  The part of a dead holder stays reserved until every
+loan and request that it made has ended.
+"""
+
+from copy import deepcopy
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+
+from gypsummount._core.amounts import add_amounts
+from gypsummount._core.amounts import Amount
+from gypsummount._core.amounts import EPSILON
+from gypsummount._core.amounts import ZERO
+
+
+class BudgetKind(Enum):
+    """How a budget is divided."""
+
+    RATE = "rate"
+    SLOTS = "slots"
+
+
+class HolderState(Enum):
+    """Where a holder stands in the ledger."""
+
+    ACTIVE = "active"
+    REPLACED = "replaced"
+    GONE = "gone"
+
+
+@dataclass(slots=True)
+class Holder:
+    """A process that owns parts of budgets.
+
+    ``place`` is its instance and port: a process that has bound the
+    port proves that the holder of the same place before it is dead.
+    """
+
+    name: str
+    instance: str
+    place: str
+    state: HolderState = HolderState.ACTIVE
+
+
+@dataclass(slots=True)
+class Account:
+    """What a holder may use at most, and what it is to come to.
+
+    ``changed_seq`` is the ledger's number when either changed last, so
+    a confirmation of that number or later was made in full knowledge.
+    """
+
+    granted: Amount = ZERO
+    target: Amount = ZERO
+    changed_seq: int = 0
+
+    def set_granted(self, granted: Amount, seq: int) -> None:
+        """Change what is granted."""
+        if granted != self.granted:
+            self.granted = granted
+            self.changed_seq = seq
+
+    def set_target(self, target: Amount, seq: int) -> None:
+        """Change what the holder is to come to."""
+        if target != self.target:
+            self.target = target
+            self.changed_seq = seq
+
+
+@dataclass(slots=True)
+class Budget:
+    """A budget, its total, and the accounts of its holders."""
+
+    name: str
+    kind: BudgetKind
+    total: Amount
+    accounts: dict[str, Account] = field(default_factory=dict)
+
+    @property
+    def granted(self) -> Amount:
+        """Return the sum of the granted parts."""
+        return add_amounts(
+            [account.granted for account in self.accounts.values()]
+        )
+
+
+@dataclass(slots=True)
+class Ledger:
+    """All budgets of a group with their holders."""
+
+    scope: str
+    seq: int = 0
+    config_serial: int = 0
+    holders: dict[str, Holder] = field(default_factory=dict)
+    budgets: dict[str, Budget] = field(default_factory=dict)
+
+    def copy(self) -> "Ledger":
+        """Return a deep copy with the next sequence number."""
+        other = deepcopy(self)
+        other.seq += 1
+        return other
+
+    def set_totals(
+        self, kind: BudgetKind, totals: dict[str, Amount], serial: int
+    ) -> bool:
+        """Take the totals of a configuration; an older one is ignored."""
+        if serial <= self.config_serial:
+            return False
+        self.config_serial = serial
+        for name, total in totals.items():
+            budget = self.budgets.get(name)
+            if budget is None:
+                self.budgets[name] = Budget(name, kind, total)
+            else:
+                budget.total = total
+        for name, budget in self.budgets.items():
+            if name not in totals:
+                budget.total = ZERO
+        return True
+
+    def join(self, holder: Holder) -> None:
+        """Add a holder; earlier holders of its place are dead."""
+        for other in self.holders.values():
+            same_place = other.place == holder.place
+            if same_place and other.name != holder.name:
+                if other.state is HolderState.ACTIVE:
+                    other.state = HolderState.REPLACED
+        self.holders[holder.name] = holder
+
+    def mark_gone(self, name: str) -> None:
+        """Mark a holder whose instance is proved to be gone."""
+        holder = self.holders.get(name)
+        if holder is not None and holder.state is HolderState.ACTIVE:
+            holder.state = HolderState.GONE
+
+    def remove(self, name: str) -> None:
+        """Remove a holder that uses nothing any more."""
+        self.holders.pop(name, None)
+        for budget in self.budgets.values():
+            budget.accounts.pop(name, None)
+
+    def confirm(
+        self, holder: str, budget: str, amount: Amount, seq: int
+    ) -> bool:
+        """Lower a granted part to what the holder has come down to.
+
+        ``seq`` is the ledger that the holder knew.  A confirmation made
+        before the account changed last is ignored.
+        """
+        known = self.budgets.get(budget)
+        account = known.accounts.get(holder) if known else None
+        if account is None or seq < account.changed_seq:
+            return False
+        if not amount.fits(account.granted):
+            return False
+        account.set_granted(amount, self.seq)
+        return True
+
+    def distribute(self) -> None:
+        """Set the targets and grant what nobody holds."""
+        active = sorted(
+            holder.name
+            for holder in self.holders.values()
+            if holder.state is HolderState.ACTIVE
+        )
+        for budget in list(self.budgets.values()):
+            _set_targets(budget, active, self.seq)
+            _grant_free(budget, self.seq)
+            if budget.total.is_zero and budget.granted.is_zero:
+                del self.budgets[budget.name]
+
+
+def _set_targets(budget: Budget, active: list[str], seq: int) -> None:
+    for name, account in budget.accounts.items():
+        if name not in active:
+            account.set_target(ZERO, seq)
+    for index, name in enumerate(active):
+        account = budget.accounts.setdefault(name, Account())
+        part = _find_part(budget, index, len(active))
+        account.set_target(part, seq)
+    for name in list(budget.accounts):
+        if name not in active and budget.accounts[name].granted.is_zero:
+            del budget.accounts[name]
+
+
+def _find_part(budget: Budget, index: int, count: int) -> Amount:
+    if budget.kind is BudgetKind.RATE:
+        return budget.total.scale(1 / count)
+    slots = int(budget.total.burst)
+    offset = sum(map(ord, budget.name))
+    rank = (index + offset) % count
+    whole, rest = divmod(slots, count)
+    return Amount(0.0, float(whole + (1 if rank < rest else 0)))
+
+
+def _grant_free(budget: Budget, seq: int) -> None:
+    free = (budget.total - budget.granted).clip()
+    for account in budget.accounts.values():
+        lack = (account.target - account.granted).clip()
+        part = lack.cap(free)
+        if part.rate <= EPSILON and part.burst <= EPSILON:
+            continue
+        account.set_granted(account.granted + part, seq)
+        free = (free - part).clip()
--- /dev/null
+++ b/src/gypsummount/_core/lookups.py
@@ -0,0 +1,69 @@
+"""Which entry instances a workspace's callers are led to."""
+
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from gypsummount._core.membership import EntryInfo
+from gypsummount._core.membership import Member
+
+LOOKUP_TTL_S = 10
+MAX_ENTRIES = 4
+LOCAL_WEIGHT = 100
+REGION_WEIGHT = 20
+ABROAD_WEIGHT = 1
+HASH_BYTES = 8
+
+
+@dataclass(slots=True, frozen=True)
+class Place:
+    """Where a caller asks from."""
+
+    domain: str
+    region: str
+
+
+@dataclass(slots=True, frozen=True)
+class RankedEntry:
+    """An entry of a look-up answer, best first."""
+
+    address: str
+    token: str
+    weight: int
+
+
+def rank_entries(
+    members: list[Member], workspace: str, place: Place
+) -> list[RankedEntry]:
+    """Return the entries for a workspace, near ones first.
+
+    Rendezvous hashing orders the entries of one distance, so that a
+    workspace keeps to few of them and its tokens need not travel.
+    """
+    ranked = []
+    for member in members:
+        if member.phase != "serving":
+            continue
+        weight = _find_weight(member, place)
+        for entry in member.entries:
+            if entry.phase == "serving":
+                score = _score(workspace, entry)
+                ranked.append((weight, score, entry))
+    ranked.sort(key=lambda row: (-row[0], -row[1]))
+    return [
+        RankedEntry(entry.http_address, entry.token, weight)
+        for weight, _, entry in ranked[:MAX_ENTRIES]
+    ]
+
+
+def _find_weight(member: Member, place: Place) -> int:
+    if member.domain == place.domain:
+        return LOCAL_WEIGHT
+    if member.region == place.region:
+        return REGION_WEIGHT
+    return ABROAD_WEIGHT
+
+
+def _score(workspace: str, entry: EntryInfo) -> int:
+    text = f"{workspace}|{entry.http_address}"
+    digest = blake2b(text.encode(), digest_size=HASH_BYTES).digest()
+    return int.from_bytes(digest, "big")
--- /dev/null
+++ b/src/gypsummount/_core/membership.py
@@ -0,0 +1,139 @@
+"""Membership by gossip: what each agent tells of itself and others."""
+
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+
+from gypsummount._core.rollouts import Veto
+
+SUSPECT_S = 2.5
+FORGET_S = 60.0
+NEVER_S = 1e9
+
+
+@dataclass(slots=True, frozen=True)
+class ServiceLoad:
+    """Free slots for callers from elsewhere, by service."""
+
+    service: str
+    free: int
+    total: int
+
+
+@dataclass(slots=True, frozen=True)
+class EntryInfo:
+    """What an entry process lets others know of itself."""
+
+    name: str
+    token: str
+    http_address: str
+    peer_address: str
+    phase: str
+    loads: tuple[ServiceLoad, ...] = ()
+
+    def find_load(self, service: str) -> ServiceLoad | None:
+        """Return the load of a service, if the entry steers it."""
+        for load in self.loads:
+            if load.service == service:
+                return load
+        return None
+
+
+@dataclass(slots=True, frozen=True)
+class Member:
+    """One agent's record; only the agent itself raises ``beat``."""
+
+    instance: str
+    incarnation: str
+    started: int
+    beat: int
+    domain: str
+    region: str
+    address: str
+    phase: str
+    config_serial: int = 0
+    keys_serial: int = 0
+    store_age_s: float = NEVER_S
+    entries: tuple[EntryInfo, ...] = ()
+    vetoes: tuple[Veto, ...] = ()
+
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Order records of one instance: later start, later beat."""
+        return self.started, self.beat
+
+
+@dataclass(slots=True)
+class _Seen:
+    member: Member
+    at: float
+
+
+@dataclass(slots=True)
+class MemberTable:
+    """All members that one agent knows; times are monotonic seconds."""
+
+    own: Member
+    _seen: dict[str, _Seen] = field(default_factory=dict)
+
+    def update_own(self, member: Member) -> None:
+        """Replace the own record; its beat rises."""
+        self.own = replace(member, beat=self.own.beat + 1)
+
+    def merge(self, members: "list[Member]", now: float) -> None:
+        """Take each record that is newer than the one known."""
+        for member in members:
+            if member.instance == self.own.instance:
+                continue
+            known = self._seen.get(member.instance)
+            if known is None or member.rank > known.member.rank:
+                self._seen[member.instance] = _Seen(member, now)
+
+    def list_digest(self, now: float) -> list[Member]:
+        """Return all records to send, with the store ages moved on."""
+        digest = [self.own]
+        for seen in self._seen.values():
+            if now - seen.at > FORGET_S:
+                continue
+            age_s = seen.member.store_age_s + now - seen.at
+            digest.append(replace(seen.member, store_age_s=age_s))
+        return digest
+
+    def list_alive(self, now: float) -> list[Member]:
+        """Return the own record and all with a recent beat."""
+        alive = [self.own]
+        for seen in self._seen.values():
+            if now - seen.at <= SUSPECT_S:
+                alive.append(seen.member)
+        return alive
+
+    def list_known(self) -> list[Member]:
+        """Return all records, recent or not, without the own one."""
+        return [seen.member for seen in self._seen.values()]
+
+    def is_alive(self, instance: str, now: float) -> bool:
+        """Tell whether an instance's beat was seen lately."""
+        if instance == self.own.instance:
+            return True
+        seen = self._seen.get(instance)
+        return seen is not None and now - seen.at <= SUSPECT_S
+
+    def find_store_age(self, now: float) -> float:
+        """Return the age (s) of the newest contact with the store."""
+        ages = [self.own.store_age_s]
+        for seen in self._seen.values():
+            ages.append(seen.member.store_age_s + now - seen.at)
+        return min(ages)
+
+    def collect_vetoes(self) -> set[Veto]:
+        """Return every veto that any member has told."""
+        vetoes = set(self.own.vetoes)
+        for seen in self._seen.values():
+            vetoes.update(seen.member.vetoes)
+        return vetoes
+
+    def forget_old(self, now: float) -> None:
+        """Drop records without a beat for :data:`FORGET_S`."""
+        for instance, seen in list(self._seen.items()):
+            if now - seen.at > FORGET_S:
+                del self._seen[instance]
--- /dev/null
+++ b/src/gypsummount/_core/sanitizing.py
@@ -0,0 +1,117 @@
+"""Removal of keys and hop-by-hop headers from requests."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from urllib.parse import unquote_plus
+
+from gypsummount._core.keys import KEY_PATTERN
+from gypsummount.errors import RequestInvalid
+
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+KEY_HEADERS = frozenset(("authorization", "x-api-key"))
+SET_BY_ENTRY = frozenset(("x-deadline-ms", "x-request-id", "x-workspace"))
+OWN_PREFIX = "gypsummount-"
+MAX_UNQUOTE = 4
+
+
+@dataclass(slots=True, frozen=True)
+class Header:
+    """One header line."""
+
+    name: str
+    value: str
+
+
+def clean_headers(headers: Iterable[Header]) -> list[Header]:
+    """Return the headers that may go to an upstream."""
+    lines = list(headers)
+    named = _list_connection_names(lines)
+    kept = []
+    for line in lines:
+        name = line.name.lower()
+        if name in HOP_BY_HOP or name in KEY_HEADERS or name in named:
+            continue
+        if name in SET_BY_ENTRY or name.startswith(OWN_PREFIX):
+            continue
+        if holds_key(line.name):
+            continue
+        if name == "cookie":
+            line = Header(line.name, clean_cookie(line.value))
+            if not line.value:
+                continue
+        if holds_key(line.value):
+            continue
+        kept.append(line)
+    return kept
+
+
+def clean_answer_headers(headers: Iterable[Header]) -> list[Header]:
+    """Return the headers of an upstream that may go to the caller."""
+    lines = list(headers)
+    named = _list_connection_names(lines)
+    return [
+        line
+        for line in lines
+        if line.name.lower() not in HOP_BY_HOP
+        and line.name.lower() not in named
+        and not line.name.lower().startswith(OWN_PREFIX)
+    ]
+
+
+def clean_cookie(value: str) -> str:
+    """Return a cookie header without the parts that hold a key."""
+    parts = [part.strip() for part in value.split(";")]
+    return "; ".join(part for part in parts if not holds_key(part))
+
+
+def clean_query(query: str) -> str:
+    """Return a query string without the arguments that hold a key."""
+    parts = query.split("&")
+    return "&".join(part for part in parts if not holds_key(part))
+
+
+def check_path(path: str) -> None:
+    """Refuse a path that holds a key.
+
+    :raises RequestInvalid: with the remedy.
+    """
+    if holds_key(path):
+        raise RequestInvalid(
+            "the path holds a key; send it as 'Authorization: Bearer KEY'"
+        )
+
+
+def holds_key(text: str) -> bool:
+    """Tell whether a text holds a key, percent-encoded or not."""
+    for _ in range(MAX_UNQUOTE):
+        if KEY_PATTERN.search(text):
+            return True
+        plain = unquote_plus(text)
+        if plain == text:
+            return False
+        text = plain
+    return True
+
+
+def _list_connection_names(lines: list[Header]) -> set[str]:
+    return {
+        name.strip().lower()
+        for line in lines
+        if line.name.lower() == "connection"
+        for name in line.value.split(",")
+    }
--- /dev/null
+++ b/src/gypsummount/_core/shares.py
@@ -0,0 +1,377 @@
+"""A holder's share of a rate budget: spending, lending and borrowing.
+
+Over all holders of a budget the usable rates and bursts never add up
+to more than the budget, and the token levels never to more than its
+burst.  Hence, over any window of W seconds, the holders together spend
+at most ``rate * W + burst``.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+from math import exp
+from math import inf
+
+from gypsummount._core.amounts import add_amounts
+from gypsummount._core.amounts import Amount
+from gypsummount._core.amounts import EPSILON
+from gypsummount._core.amounts import ZERO
+from gypsummount._core.loans import BorrowRequest
+from gypsummount._core.loans import find_lender_wait
+from gypsummount._core.loans import Loan
+from gypsummount._core.loans import LOAN_S
+from gypsummount._core.loans import LoanReturn
+
+DEMAND_WINDOW_S = 1.0
+DEMAND_HEADROOM = 1.25
+LEAST_RATE_SHARE = 0.02
+LEAST_LOAN_SHARE = 0.01
+LOW_LEVEL_S = 0.25
+REQUEST_LIMIT_S = 1.0
+RETURN_DEMAND_SHARE = 0.5
+PAUSE_LIMIT_S = 10.0
+
+
+class LoanState(Enum):
+    """Where a loan stands at the lender."""
+
+    OPEN = "open"
+    CLOSED = "closed"
+
+
+@dataclass(slots=True)
+class _Lent:
+    loan: Loan
+    ends_at: float
+    state: LoanState = LoanState.OPEN
+
+
+@dataclass(slots=True)
+class _Borrowed:
+    loan: Loan
+    lender: str
+    ends_at: float
+
+
+@dataclass(slots=True)
+class _Pending:
+    request: BorrowRequest
+    lender: str
+    sent_at: float
+
+
+class RateShare:
+    """One holder's share of one budget; all times are monotonic seconds.
+
+    The share is not usable after a pause of more than
+    :data:`PAUSE_LIMIT_S` until :meth:`confirm_owned` is called with
+    what the ledger says after the pause.
+    """
+
+    __slots__ = (
+        "_borrowed",
+        "_counter",
+        "_demand",
+        "_demand_at",
+        "_holder",
+        "_lent",
+        "_level",
+        "_owned",
+        "_pending",
+        "_seen_at",
+        "_suspended",
+        "_updated_at",
+        "_usable",
+        "budget",
+    )
+
+    def __init__(self, budget: str, holder: str, now: float) -> None:
+        self.budget = budget
+        self._holder = holder
+        self._owned = ZERO
+        self._usable = ZERO
+        self._level = 0.0
+        self._updated_at = now
+        self._seen_at = now
+        self._suspended = False
+        self._lent: dict[str, _Lent] = {}
+        self._borrowed: dict[str, _Borrowed] = {}
+        self._pending: dict[str, _Pending] = {}
+        self._counter = 0
+        self._demand = 0.0
+        self._demand_at = now
+
+    @property
+    def owned(self) -> Amount:
+        """Return what the ledger grants to this holder."""
+        return self._owned
+
+    @property
+    def usable(self) -> Amount:
+        """Return what can be used as of the last call with a time."""
+        return self._usable
+
+    @property
+    def level(self) -> float:
+        """Return the tokens as of the last call with a time."""
+        return self._level
+
+    @property
+    def lent(self) -> Amount:
+        """Return the sum of the open loans to peers."""
+        return add_amounts(
+            [
+                lent.loan.amount
+                for lent in self._lent.values()
+                if lent.state is LoanState.OPEN
+            ]
+        )
+
+    @property
+    def is_suspended(self) -> bool:
+        """Tell whether the share waits for the ledger after a pause."""
+        return self._suspended
+
+    def find_demand(self, now: float) -> float:
+        """Return the recent demand in units per second."""
+        self._decay_demand(now)
+        return self._demand
+
+    def confirm_owned(self, owned: Amount, now: float) -> None:
+        """Set what the ledger grants, read after any pause."""
+        self.advance(now)
+        self._suspended = False
+        self._owned = owned
+        self._recompute()
+
+    def can_confirm(self) -> bool:
+        """Tell whether the open loans fit into what is owned."""
+        return self.lent.fits(self._owned)
+
+    def advance(self, now: float) -> None:
+        """Bring the share up to ``now``, loan by loan."""
+        if now - self._seen_at > PAUSE_LIMIT_S:
+            self._suspend()
+        self._seen_at = max(self._seen_at, now)
+        while True:
+            due = self._find_next_end()
+            if due > now:
+                break
+            self._accrue(due)
+            self._end_loans(due)
+        self._accrue(now)
+
+    def try_spend(self, now: float, count: float = 1.0) -> bool:
+        """Spend tokens if there are enough."""
+        self.advance(now)
+        if self._suspended or self._level + EPSILON < count:
+            return False
+        self._level = max(0.0, self._level - count)
+        return True
+
+    def record_demand(self, now: float, count: float = 1.0) -> None:
+        """Count units asked for; call once per arrival."""
+        self._decay_demand(now)
+        self._demand += count / DEMAND_WINDOW_S
+
+    def find_wait(self, count: float = 1.0) -> float:
+        """Return the seconds until the share holds enough by itself."""
+        lack = count - self._level
+        if lack <= EPSILON:
+            return 0.0
+        if self._usable.rate <= EPSILON or count > self._usable.burst:
+            return inf
+        return lack / self._usable.rate
+
+    def is_low(self, now: float) -> bool:
+        """Tell whether the tokens will run out soon at this demand."""
+        self.advance(now)
+        self._decay_demand(now)
+        if self._suspended:
+            return False
+        if self._demand <= self._usable.rate and self._level >= 1:
+            return False
+        reserve = max(1.0, self._demand * LOW_LEVEL_S)
+        return self._level < reserve or (
+            self._demand > self._usable.rate * DEMAND_HEADROOM
+        )
+
+    def build_request(
+        self, lender: str, total: Amount, now: float
+    ) -> BorrowRequest | None:
+        """Return a request to a peer, or None while one is pending."""
+        self.advance(now)
+        self._drop_stale_requests(now)
+        if self._pending or self._suspended:
+            return None
+        wanted = self._find_wanted(total)
+        if wanted.is_zero:
+            return None
+        self._counter += 1
+        loan_id = f"{self._holder}#{self._counter}"
+        request = BorrowRequest(loan_id, self.budget, wanted)
+        self._pending[loan_id] = _Pending(request, lender, now)
+        return request
+
+    def cancel_request(self, loan_id: str) -> None:
+        """Forget a request whose answer will not be taken any more."""
+        self._pending.pop(loan_id, None)
+
+    def lend(self, request: BorrowRequest, now: float) -> Loan | None:
+        """Debit a loan and return it; the same request, the same loan."""
+        self.advance(now)
+        known = self._lent.get(request.loan_id)
+        if known is not None:
+            return known.loan if known.state is LoanState.OPEN else None
+        if self._suspended:
+            return None
+        amount = request.wanted.cap(self._find_spare(now))
+        if amount.rate < request.wanted.rate * LEAST_LOAN_SHARE:
+            return None
+        tokens = self._find_tokens(amount)
+        loan = Loan(request.loan_id, self.budget, amount, tokens, LOAN_S)
+        ends_at = now + find_lender_wait(LOAN_S)
+        self._lent[loan.loan_id] = _Lent(loan, ends_at)
+        self._level -= tokens
+        self._recompute()
+        return loan
+
+    def accept(self, loan: Loan, now: float) -> bool:
+        """Credit a loan once, if its request is still pending."""
+        self.advance(now)
+        pending = self._pending.pop(loan.loan_id, None)
+        if pending is None or self._suspended:
+            return False
+        ends_at = pending.sent_at + loan.duration_s
+        if ends_at <= now:
+            return False
+        self._borrowed[loan.loan_id] = _Borrowed(loan, pending.lender, ends_at)
+        self._recompute()
+        self._level = min(self._usable.burst, self._level + loan.tokens)
+        return True
+
+    def return_idle(self, now: float) -> list[tuple[str, LoanReturn]]:
+        """Debit loans that the demand no longer needs, by lender."""
+        self.advance(now)
+        self._decay_demand(now)
+        returned = []
+        for loan_id, borrowed in list(self._borrowed.items()):
+            rest = self._usable.rate - borrowed.loan.amount.rate
+            if self._demand > rest * RETURN_DEMAND_SHARE:
+                continue
+            returned.append(self._return(loan_id, borrowed))
+        return returned
+
+    def return_all(self, now: float) -> list[tuple[str, LoanReturn]]:
+        """Debit every borrowed part, for a planned stop."""
+        self.advance(now)
+        return [
+            self._return(loan_id, borrowed)
+            for loan_id, borrowed in list(self._borrowed.items())
+        ]
+
+    def take_back(self, message: LoanReturn, now: float) -> bool:
+        """Credit a returned loan once."""
+        self.advance(now)
+        lent = self._lent.get(message.loan_id)
+        if lent is None or lent.state is LoanState.CLOSED:
+            return False
+        lent.state = LoanState.CLOSED
+        self._recompute()
+        tokens = min(message.tokens, lent.loan.amount.burst)
+        self._level = min(self._usable.burst, self._level + tokens)
+        return True
+
+    def _return(
+        self, loan_id: str, borrowed: _Borrowed
+    ) -> tuple[str, LoanReturn]:
+        del self._borrowed[loan_id]
+        before = self._level
+        part = self._find_part(borrowed.loan.amount)
+        tokens = min(before * part, borrowed.loan.amount.burst)
+        self._level = before - tokens
+        self._recompute()
+        message = LoanReturn(loan_id, self.budget, tokens)
+        return borrowed.lender, message
+
+    def _find_part(self, amount: Amount) -> float:
+        if self._usable.burst <= EPSILON:
+            return 0.0
+        return min(1.0, amount.burst / self._usable.burst)
+
+    def _find_wanted(self, total: Amount) -> Amount:
+        missing = self._demand * DEMAND_HEADROOM - self._usable.rate
+        rate = max(missing, total.rate * LEAST_RATE_SHARE)
+        rate = min(rate, total.rate)
+        burst = total.burst * rate / max(total.rate, EPSILON)
+        return Amount(rate, max(burst, min(1.0, total.burst)))
+
+    def _find_spare(self, now: float) -> Amount:
+        self._decay_demand(now)
+        kept = self._demand * DEMAND_HEADROOM
+        rate = max(0.0, self._usable.rate - kept)
+        if self._usable.rate <= EPSILON:
+            return ZERO
+        part = rate / self._usable.rate
+        return Amount(rate, self._usable.burst * part)
+
+    def _find_tokens(self, amount: Amount) -> float:
+        part = self._find_part(amount)
+        return min(self._level * part, amount.burst)
+
+    def _suspend(self) -> None:
+        self._suspended = True
+        self._borrowed.clear()
+        self._pending.clear()
+        self._level = 0.0
+        self._recompute()
+
+    def _drop_stale_requests(self, now: float) -> None:
+        for loan_id, pending in list(self._pending.items()):
+            if now - pending.sent_at > REQUEST_LIMIT_S:
+                del self._pending[loan_id]
+
+    def _decay_demand(self, now: float) -> None:
+        passed = now - self._demand_at
+        if passed <= 0:
+            return
+        self._demand *= exp(-passed / DEMAND_WINDOW_S)
+        self._demand_at = now
+
+    def _accrue(self, until: float) -> None:
+        passed = until - self._updated_at
+        if passed <= 0:
+            return
+        gained = self._usable.rate * passed
+        self._level = min(self._usable.burst, self._level + gained)
+        self._updated_at = until
+
+    def _find_next_end(self) -> float:
+        due = inf
+        for lent in self._lent.values():
+            due = min(due, lent.ends_at)
+        for borrowed in self._borrowed.values():
+            due = min(due, borrowed.ends_at)
+        return due
+
+    def _end_loans(self, due: float) -> None:
+        self._lent = {
+            loan_id: lent
+            for loan_id, lent in self._lent.items()
+            if lent.ends_at > due
+        }
+        self._borrowed = {
+            loan_id: borrowed
+            for loan_id, borrowed in self._borrowed.items()
+            if borrowed.ends_at > due
+        }
+        self._recompute()
+
+    def _recompute(self) -> None:
+        borrowed = add_amounts(
+            [entry.loan.amount for entry in self._borrowed.values()]
+        )
+        own = (self._owned - self.lent).clip()
+        if self._suspended:
+            own = ZERO
+        self._usable = own + borrowed
+        self._level = min(self._level, self._usable.burst)
--- /dev/null
+++ b/src/gypsummount/_core/slots.py
@@ -0,0 +1,69 @@
+"""A holder's share of the slots of one upstream."""
+
+from gypsummount._core.shares import PAUSE_LIMIT_S
+
+
+class SlotShare:
+    """Counts requests in flight against the slots that are owned.
+
+    After a pause of more than :data:`PAUSE_LIMIT_S` no new slot is
+    taken until the ledger has been read again.
+    """
+
+    __slots__ = ("_owned", "_seen_at", "_suspended", "in_use", "upstream")
+
+    def __init__(self, upstream: str, now: float) -> None:
+        self.upstream = upstream
+        self.in_use = 0
+        self._owned = 0
+        self._seen_at = now
+        self._suspended = False
+
+    @property
+    def owned(self) -> int:
+        """Return the number of slots that the ledger grants."""
+        return self._owned
+
+    @property
+    def is_suspended(self) -> bool:
+        """Tell whether the share waits for the ledger after a pause."""
+        return self._suspended
+
+    @property
+    def free(self) -> int:
+        """Return the number of slots that can be taken."""
+        if self._suspended:
+            return 0
+        return max(0, self._owned - self.in_use)
+
+    def advance(self, now: float) -> None:
+        """Note that the process runs; detects pauses."""
+        if now - self._seen_at > PAUSE_LIMIT_S:
+            self._suspended = True
+        self._seen_at = max(self._seen_at, now)
+
+    def confirm_owned(self, owned: int, now: float) -> None:
+        """Set what the ledger grants, read after any pause."""
+        self.advance(now)
+        self._suspended = False
+        self._owned = owned
+
+    def can_confirm(self) -> bool:
+        """Tell whether the slots in use fit into what is owned."""
+        return self.in_use <= self._owned
+
+    def try_take(self, now: float) -> bool:
+        """Take a slot if one is free."""
+        self.advance(now)
+        if self.free < 1:
+            return False
+        self.in_use += 1
+        return True
+
+    def release(self) -> None:
+        """Give a taken slot back."""
+        if self.in_use < 1:
+            raise ValueError(
+                f"no slot of {self.upstream} is taken; release each slot once"
+            )
+        self.in_use -= 1
--- /dev/null
+++ b/src/gypsummount/_demo/__init__.py
@@ -0,0 +1,1 @@
+"""The whole system in one process on loopback."""
--- /dev/null
+++ b/src/gypsummount/_demo/checks.py
@@ -0,0 +1,84 @@
+"""Checks on invariants after the demo's load."""
+
+from collections import Counter
+from dataclasses import dataclass
+
+from gypsummount._core.keys import KEY_PATTERN
+from gypsummount._demo.fleet import Fleet
+from gypsummount._demo.rules import WORKSPACE_RATES
+
+
+@dataclass(slots=True, frozen=True)
+class CheckResult:
+    """One check and whether it passed."""
+
+    name: str
+    passed: bool
+    detail: str
+
+
+def check_fleet(fleet: Fleet, began: float, ended: float) -> list[CheckResult]:
+    """Return the results of all checks on the upstreams' own logs."""
+    return [
+        _check_single_runs(fleet),
+        _check_slots(fleet),
+        _check_no_keys(fleet),
+        _check_rates(fleet, began, ended),
+    ]
+
+
+def _check_single_runs(fleet: Fleet) -> CheckResult:
+    counts = Counter(
+        run.idempotency_key
+        for upstream in fleet.upstreams
+        for run in upstream.runs
+        if run.idempotency_key
+    )
+    doubled = [key for key, count in counts.items() if count > 1]
+    return CheckResult(
+        "each booking ran at most once",
+        not doubled,
+        f"{len(counts)} keys, {len(doubled)} doubled",
+    )
+
+
+def _check_slots(fleet: Fleet) -> CheckResult:
+    over = [
+        upstream.server
+        for upstream in fleet.upstreams
+        if upstream.most_in_flight > upstream.slots
+    ]
+    return CheckResult(
+        "no upstream ran more than its slots",
+        not over,
+        f"{len(fleet.upstreams)} upstreams, {len(over)} over",
+    )
+
+
+def _check_no_keys(fleet: Fleet) -> CheckResult:
+    seen = sum(
+        1
+        for upstream in fleet.upstreams
+        for line in upstream.headers_seen
+        if KEY_PATTERN.search(line)
+    )
+    return CheckResult(
+        "no upstream saw a key", seen == 0, f"{seen} requests with a key"
+    )
+
+
+def _check_rates(fleet: Fleet, began: float, ended: float) -> CheckResult:
+    counts = Counter(
+        run.workspace for upstream in fleet.upstreams for run in upstream.runs
+    )
+    over = []
+    for workspace, rate in WORKSPACE_RATES.items():
+        allowed = rate * (ended - began) + rate
+        # Retries and hedges repeat a request that was admitted once.
+        if counts[workspace] > allowed * 1.1 + 20:
+            over.append(workspace)
+    return CheckResult(
+        "no workspace ran more than its rate and burst",
+        not over,
+        f"{sum(counts.values())} runs, over: {', '.join(over) or 'none'}",
+    )
--- /dev/null
+++ b/src/gypsummount/_demo/fleet.py
@@ -0,0 +1,184 @@
+"""All roles of a small fleet in one process on loopback."""
+
+from asyncio import create_task
+from asyncio import gather
+from asyncio import sleep
+from asyncio import Task
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from dataclasses import field
+from socket import socket
+
+from gypsummount._agent.operations import ApplyRequest
+from gypsummount._agent.process import AgentProcess
+from gypsummount._agent.state import AgentSettings
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._common.settings import bind_address
+from gypsummount._config.parser import load_rules
+from gypsummount._demo.rules import DOMAINS
+from gypsummount._entry.process import EntryProcess
+from gypsummount._entry.process import EntrySettings
+from gypsummount._standin.http import TinyServer
+from gypsummount._standin.platform import ListedInstance
+from gypsummount._standin.platform import PlatformStandin
+from gypsummount._standin.program import build_upstreams
+from gypsummount._standin.store import StoreStandin
+from gypsummount._standin.upstreams import UpstreamStandin
+from gypsummount.errors import GypsummountError
+
+LOOPBACK = "127.0.0.1"
+PEPPER = b"demo-pepper-of-the-fleet"
+OPERATOR_TOKEN = "demo-operator-token"
+INSTANCE_COUNT = 8
+READY_LIMIT_S = 20.0
+POLL_S = 0.1
+
+
+class FleetError(GypsummountError):
+    """The fleet did not come up in time."""
+
+    code = "fleet_not_ready"
+
+
+class Ports:
+    """Hands out loopback addresses whose ports were free just now."""
+
+    def __init__(self) -> None:
+        self._used: set[int] = set()
+
+    def take(self) -> str:
+        """Return a free address."""
+        while True:
+            with socket() as probe:
+                probe.bind((LOOPBACK, 0))
+                port = probe.getsockname()[1]
+            if port not in self._used:
+                self._used.add(port)
+                return f"{LOOPBACK}:{port}"
+
+
+@dataclass(slots=True)
+class Instance:
+    """One entry with its agent."""
+
+    name: str
+    entry: EntryProcess
+    agent: AgentProcess
+    listen: str
+    domain: str
+
+
+@dataclass(slots=True)
+class Fleet:
+    """The stand-ins and the instances."""
+
+    rules_text: str
+    store: StoreStandin
+    platform: PlatformStandin
+    upstreams: list[UpstreamStandin]
+    instances: list[Instance] = field(default_factory=list)
+    tasks: list[Task[None]] = field(default_factory=list)
+
+    async def wait_ready(self, serial: int) -> None:
+        """Wait until every entry serves with its share.
+
+        :raises FleetError: after :data:`READY_LIMIT_S` seconds.
+        """
+        until = read_monotonic() + READY_LIMIT_S
+        while not all(_is_ready(one, serial) for one in self.instances):
+            if read_monotonic() > until:
+                raise FleetError(
+                    "the fleet did not come up in time; try again on a "
+                    "less busy machine"
+                )
+            await sleep(POLL_S)
+
+
+def _is_ready(instance: Instance, serial: int) -> bool:
+    entry = instance.entry
+    if entry.phase != "serving" or not entry.budgets.rates:
+        return False
+    return (
+        entry.snapshot.config_serial >= serial
+        and len(entry.snapshot.peers) >= INSTANCE_COUNT - 1
+    )
+
+
+async def start_fleet(
+    stack: AsyncExitStack, rules_text: str, ports: Ports, seed: int
+) -> Fleet:
+    """Start all roles; the stack stops them."""
+    upstreams = build_upstreams(load_rules(rules_text), seed)
+    fleet = Fleet(rules_text, StoreStandin(), PlatformStandin(1.0), upstreams)
+    store, platform = ports.take(), ports.take()
+    servers = {store: fleet.store.answer, platform: fleet.platform.answer}
+    servers |= {one.server: one.answer for one in upstreams}
+    for address, answer in servers.items():
+        server = TinyServer(answer, bind_address("--listen", address))
+        stack.push_async_callback(server.close)
+    for index in range(INSTANCE_COUNT):
+        domain = DOMAINS[index % len(DOMAINS)]
+        instance = _create_instance(index, domain, store, platform, ports)
+        fleet.instances.append(instance)
+        fleet.tasks.append(create_task(instance.agent.run()))
+        fleet.tasks.append(create_task(instance.entry.run()))
+    for instance in fleet.instances:
+        fleet.platform.put(
+            ListedInstance(
+                instance.name,
+                instance.domain,
+                instance.agent.state.settings.listen,
+            )
+        )
+    stack.push_async_callback(_stop, fleet)
+    return fleet
+
+
+def _create_instance(
+    index: int, domain: str, store: str, platform: str, ports: Ports
+) -> Instance:
+    name = f"entry-{index + 1}"
+    region = domain.rsplit("-", 1)[0]
+    agent_listen, listen = ports.take(), ports.take()
+    agent = AgentProcess(
+        AgentSettings(
+            name,
+            domain,
+            region,
+            agent_listen,
+            ports.take(),
+            store,
+            platform,
+            (),
+            PEPPER,
+            OPERATOR_TOKEN,
+        )
+    )
+    entry = EntryProcess(
+        EntrySettings(
+            name,
+            domain,
+            region,
+            listen,
+            ports.take(),
+            agent_listen,
+            PEPPER,
+            drain_s=0.2,
+            stop_limit_s=2.0,
+        )
+    )
+    return Instance(name, entry, agent, listen, domain)
+
+
+async def apply_rules(fleet: Fleet) -> int:
+    """Apply the fleet's rules and return their serial."""
+    operations = fleet.instances[0].agent.operations
+    request = ApplyRequest(fleet.rules_text, 0, "demo")
+    document = await operations.apply(request)
+    return document.serial
+
+
+async def _stop(fleet: Fleet) -> None:
+    for task in fleet.tasks:
+        task.cancel()
+    await gather(*fleet.tasks, return_exceptions=True)
--- /dev/null
+++ b/src/gypsummount/_demo/program.py
@@ -0,0 +1,233 @@
+"""The demo: a short load with a withdrawal, a move and a bad version."""
+
+from asyncio import create_task
+from asyncio import gather
+from asyncio import sleep
+from contextlib import AsyncExitStack
+from random import Random
+
+from typer import echo
+
+from gypsummount._cli.tables import format_table
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._common.logs import configure_logs
+from gypsummount._demo.checks import check_fleet
+from gypsummount._demo.checks import CheckResult
+from gypsummount._demo.fleet import apply_rules
+from gypsummount._demo.fleet import Fleet
+from gypsummount._demo.fleet import Ports
+from gypsummount._demo.fleet import start_fleet
+from gypsummount._demo.rules import WORKSPACE_RATES
+from gypsummount._demo.rules import write_rules
+from gypsummount._load.caller import Call
+from gypsummount._load.caller import Caller
+from gypsummount._load.report import LoadReport
+from gypsummount._load.workload import Mix
+from gypsummount._load.workload import Stream
+from gypsummount._load.workload import Workload
+
+CALLERS_EACH = 3
+OFFERED_SHARE = 0.7
+OVERDRAWN = "valle-grande"
+OVERDRAWN_FACTOR = 3.0
+SETTLE_S = 3.0
+WITHDRAWAL_LIMIT_S = 5.0
+GOOD_ROLLOUT = "rondas-v2"
+BAD_ROLLOUT = "reservas-v2"
+BAD_VERSION_SHARE_LIMIT = 0.05
+ROLLOUT_LIMIT_S = 15.0
+
+MIX = (
+    Mix(Call("rondas", "GET", "/rondas/hoy"), 0.7),
+    Mix(Call("reservas", "POST", "/reservas", b"b", repeatable=False), 0.2),
+    Mix(Call("fotos", "POST", "/fotos", b"p" * 20_000, repeatable=False), 0.1),
+)
+
+
+async def run_demo(seed: int, load_s: float) -> int:
+    """Run the demo and return its exit code."""
+    configure_logs("error", "demo")
+    async with AsyncExitStack() as stack:
+        ports = Ports()
+        rules_text = write_rules(ports.take)
+        echo(f"Starting 8 entries and 8 agents (seed {seed}).")
+        fleet = await start_fleet(stack, rules_text, ports, seed)
+        await sleep(0.5)
+        serial = await apply_rules(fleet)
+        await fleet.wait_ready(serial)
+        await sleep(SETTLE_S)
+        scene = _Scene(fleet, seed, load_s)
+        return await scene.play(stack)
+
+
+class _Scene:
+    def __init__(self, fleet: Fleet, seed: int, load_s: float) -> None:
+        self._fleet = fleet
+        self._random = Random(seed)
+        self._load_s = load_s
+        self._report = LoadReport()
+        self._workload = Workload(self._report, self._random)
+        self._results: list[CheckResult] = []
+        self._operations = fleet.instances[0].agent.operations
+
+    async def play(self, stack: AsyncExitStack) -> int:
+        callers = await self._create_callers(stack)
+        began = read_monotonic()
+        loads = [
+            create_task(
+                self._workload.run(
+                    _build_stream(workspace, rate),
+                    callers[workspace],
+                    self._load_s,
+                )
+            )
+            for workspace, rate in WORKSPACE_RATES.items()
+        ]
+        progress = create_task(self._show_progress(began))
+        await gather(*loads, self._move_versions(), self._withdraw_key(stack))
+        progress.cancel()
+        ended = read_monotonic()
+        self._results += check_fleet(self._fleet, began, ended)
+        return self._print_results()
+
+    async def _create_callers(
+        self, stack: AsyncExitStack
+    ) -> dict[str, list[Caller]]:
+        callers: dict[str, list[Caller]] = {}
+        for workspace in WORKSPACE_RATES:
+            granted = await self._operations.grant_key(workspace, "demo", 0)
+            callers[workspace] = [
+                self._create_caller(stack, granted.key)
+                for _ in range(CALLERS_EACH)
+            ]
+        await sleep(1.0)
+        return callers
+
+    def _create_caller(self, stack: AsyncExitStack, key: str) -> Caller:
+        entries = [one.listen for one in self._fleet.instances]
+        self._random.shuffle(entries)
+        caller = Caller(key, entries, self._random)
+        stack.callback(caller.close)
+        return caller
+
+    async def _withdraw_key(self, stack: AsyncExitStack) -> None:
+        granted = await self._operations.grant_key("zarcero", "demo", 0)
+        await sleep(1.5)
+        caller = self._create_caller(stack, granted.key)
+        call = Call("rondas", "GET", "/rondas/llave", retries=0)
+        before = await caller.call(call)
+        await self._operations.withdraw_key(granted.record.key_id)
+        withdrawn = read_monotonic()
+        after = await caller.call(call)
+        while after.code != "key_refused":
+            if read_monotonic() - withdrawn > WITHDRAWAL_LIMIT_S:
+                break
+            await sleep(0.05)
+            after = await caller.call(call)
+        took_s = read_monotonic() - withdrawn
+        self._results.append(
+            CheckResult(
+                "a withdrawn key stopped on an open connection",
+                before.is_good and after.code == "key_refused",
+                f"after {took_s:.2f} s",
+            )
+        )
+
+    async def _move_versions(self) -> None:
+        for upstream in self._fleet.upstreams:
+            is_bad = upstream.version == "v2" and self._has_slots(
+                upstream.server, "reservas"
+            )
+            if is_bad:
+                upstream.switches.error_share = 0.8
+        await self._operations.start_rollout(GOOD_ROLLOUT)
+        await self._operations.start_rollout(BAD_ROLLOUT)
+        phases = await self._await_rollouts()
+        self._results.append(
+            CheckResult(
+                "the good version was moved to",
+                phases[GOOD_ROLLOUT] == "finished",
+                f"{GOOD_ROLLOUT} is {phases[GOOD_ROLLOUT]}",
+            )
+        )
+        self._results.append(self._check_bad(phases[BAD_ROLLOUT]))
+
+    def _has_slots(self, server: str, service: str) -> bool:
+        rules = self._fleet.instances[0].agent.state.rules
+        return any(
+            server in pool.servers and pool.service == service
+            for pool in rules.pools.values()
+        )
+
+    async def _await_rollouts(self) -> dict[str, str]:
+        watches = self._fleet.instances[0].agent.state.rollouts.by_name
+        until = read_monotonic() + ROLLOUT_LIMIT_S
+        while read_monotonic() < until:
+            phases = {
+                name: watch.state.phase for name, watch in watches.items()
+            }
+            if "moving" not in phases.values():
+                break
+            await sleep(0.1)
+        return phases
+
+    def _check_bad(self, phase: str) -> CheckResult:
+        counts = {"v1": 0, "v2": 0}
+        for upstream in self._fleet.upstreams:
+            if self._has_slots(upstream.server, "reservas"):
+                counts[upstream.version] += len(upstream.runs)
+        total = max(1, sum(counts.values()))
+        share = counts["v2"] / total
+        return CheckResult(
+            "the bad version was taken back and got a small share",
+            phase == "taken-back" and share <= BAD_VERSION_SHARE_LIMIT,
+            f"{BAD_ROLLOUT} is {phase}, share {share:.3f}",
+        )
+
+    async def _show_progress(self, began: float) -> None:
+        while True:
+            await sleep(2.0)
+            passed_s = read_monotonic() - began
+            echo(f"{passed_s:5.1f} s  {self._report.good} good answers")
+
+    def _print_results(self) -> int:
+        rows = []
+        for workspace, tally in self._report.tallies.items():
+            rows.append(
+                (
+                    workspace,
+                    WORKSPACE_RATES[workspace],
+                    tally.good,
+                    tally.find_quantile(50),
+                    tally.find_quantile(99),
+                    _count_within_rate(workspace, tally.rate_refused),
+                    tally.not_run,
+                    tally.unknown,
+                    tally.failed,
+                )
+            )
+        head = (
+            "workspace",
+            "rate",
+            "good",
+            "p50 ms",
+            "p99 ms",
+            "refused within rate",
+            "not-run",
+            "unknown",
+            "failed",
+        )
+        echo(format_table(head, rows))
+        for result in self._results:
+            mark = "ok  " if result.passed else "FAIL"
+            echo(f"{mark} {result.name} ({result.detail})")
+        return 0 if all(result.passed for result in self._results) else 1
+
+
+def _build_stream(workspace: str, rate: float) -> Stream:
+    factor = OVERDRAWN_FACTOR if workspace == OVERDRAWN else OFFERED_SHARE
+    return Stream(workspace, rate * factor, MIX)
+
+
+def _count_within_rate(workspace: str, refused: int) -> object:
+    return "over rate" if workspace == OVERDRAWN else refused
--- /dev/null
+++ b/src/gypsummount/_demo/rules.py
@@ -0,0 +1,81 @@
+"""The rule file of the demo: Topos del Valle, scaled down."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+REGIONS = ("central", "guanacaste", "sur")
+DOMAINS = tuple(f"{region}-{part}" for region in REGIONS for part in "ab")
+
+
+@dataclass(slots=True, frozen=True)
+class DemoService:
+    """A service of the demo and the size of its pools."""
+
+    name: str
+    servers: int
+    slots: int
+    versions: tuple[str, ...]
+    repeatable: bool
+    timeout_ms: int
+
+
+SERVICES = (
+    DemoService("rondas", 1, 9, ("v1", "v2"), True, 1000),
+    DemoService("reservas", 1, 5, ("v1", "v2"), False, 2000),
+    DemoService("fotos", 1, 3, ("v1",), False, 4000),
+)
+WORKSPACE_RATES = {
+    "valle-grande": 60,
+    "tarrazu": 40,
+    "naranjo": 12,
+    "poas": 12,
+    "turrialba": 12,
+    "acosta": 8,
+    "dota": 8,
+    "zarcero": 8,
+}
+
+
+def write_rules(next_address: Callable[[], str]) -> str:
+    """Return the rule file, with an address for each server."""
+    who = "# demo"
+    lines = [
+        f"domain {domain} region={domain.rsplit('-', 1)[0]} {who}"
+        for domain in DOMAINS
+    ]
+    for index, first in enumerate(REGIONS):
+        for second in REGIONS[index + 1 :]:
+            lines.append(f"link {first} {second} gbits=4 {who}")
+    for service in SERVICES:
+        lines += _write_service(service, next_address, who)
+    for name, rate in WORKSPACE_RATES.items():
+        lines.append(f"workspace {name} rate={rate} burst={rate} {who}")
+    steps = "steps=0.05,0.3,0.6,1 bake_s=1.5 deadline_s=15"
+    for service in ("rondas", "reservas"):
+        lines.append(
+            f"rollout {service}-v2 service={service} old=v1 new=v2 "
+            f"{steps} {who}"
+        )
+    lines.append(f"keys stale_s=30 when_stale=serve {who}")
+    return "\n".join(lines) + "\n"
+
+
+def _write_service(
+    service: DemoService, next_address: Callable[[], str], who: str
+) -> list[str]:
+    name = service.name
+    repeatable = "yes" if service.repeatable else "no"
+    method = "GET" if service.repeatable else "POST"
+    lines = [
+        f"service {name} timeout_ms={service.timeout_ms} {who}",
+        f"route /{name} service={name} methods={method} "
+        f"repeatable={repeatable} {who}",
+    ]
+    for domain in DOMAINS:
+        for version in service.versions:
+            servers = [next_address() for _ in range(service.servers)]
+            lines.append(
+                f"pool {name} domain={domain} version={version} "
+                f"servers={','.join(servers)} slots={service.slots} {who}"
+            )
+    return lines
--- /dev/null
+++ b/src/gypsummount/_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process - look-ups and the request path."""
--- /dev/null
+++ b/src/gypsummount/_entry/arrivals.py
@@ -0,0 +1,169 @@
+"""Reading of callers' requests: route, key, deadline, headers."""
+
+from dataclasses import dataclass
+from urllib.parse import unquote
+
+from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPServerRequest
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._common.clocks import read_wall
+from gypsummount._config.model import Access
+from gypsummount._config.model import Route
+from gypsummount._core.keys import KeyRecord
+from gypsummount._core.sanitizing import check_path
+from gypsummount._core.sanitizing import clean_headers
+from gypsummount._core.sanitizing import clean_query
+from gypsummount._core.sanitizing import Header
+from gypsummount._entry.requests import SteeredRequest
+from gypsummount._entry.snapshot import Snapshot
+from gypsummount.errors import KeyMissing
+from gypsummount.errors import KeyRefused
+from gypsummount.errors import KeyStale
+from gypsummount.errors import NotReady
+from gypsummount.errors import RequestInvalid
+from gypsummount.errors import RouteMissing
+
+DEADLINE_HEADER = "Gypsummount-Deadline-Ms"
+IDEMPOTENCY_HEADER = "Idempotency-Key"
+MAX_DEADLINE_MS = 60_000
+MAX_IDEMPOTENCY_CHARS = 200
+MS_PER_S = 1000
+_BEARER = "bearer "
+
+
+@dataclass(slots=True, frozen=True)
+class Caller:
+    """Who sent a request; the digest is empty on open routes."""
+
+    workspace: str
+    key_digest: str
+
+
+class ArrivalReader:
+    """Turns HTTP requests into steered ones, or refuses them."""
+
+    def __init__(self, snapshot: Snapshot, incarnation: str) -> None:
+        self._snapshot = snapshot
+        self._incarnation = incarnation
+        self._counter = 0
+
+    def authenticate(self, headers: HTTPHeaders) -> KeyRecord:
+        """Return the record of the caller's key.
+
+        :raises KeyMissing: when there is none.
+        :raises KeyRefused: when it is not in force.
+        :raises KeyStale: when withdrawals may have been missed.
+        """
+        key = read_key(headers)
+        record = self._snapshot.keys.find(key, read_wall())
+        if record is None:
+            raise KeyRefused(
+                "the key is not granted, has ended or was withdrawn; "
+                "ask your operator for a new one"
+            )
+        if self._snapshot.are_keys_stale(read_monotonic()):
+            raise KeyStale(
+                "key withdrawals may have been missed here; ask an entry "
+                "in another failure domain"
+            )
+        return record
+
+    def read(self, request: HTTPServerRequest) -> SteeredRequest:
+        """Return the request to steer.
+
+        :raises RequestError: naming the remedy.
+        """
+        if not self._snapshot.is_ready:
+            raise NotReady("no configuration has arrived; try again in 1 s")
+        route = self._find_route(request)
+        caller = self._find_caller(request, route)
+        timeout_s = self._snapshot.rules.services[route.service].timeout_s
+        limit_s = min(timeout_s, _read_deadline(request.headers, timeout_s))
+        self._counter += 1
+        return SteeredRequest(
+            caller.workspace,
+            caller.key_digest,
+            route,
+            request.method,
+            request.path,
+            clean_query(request.query),
+            clean_headers(
+                Header(name, value)
+                for name, value in request.headers.get_all()
+            ),
+            request.body,
+            read_monotonic() + limit_s,
+            f"{self._incarnation}-{self._counter}",
+            read_idempotency_key(request.headers),
+        )
+
+    def _find_route(self, request: HTTPServerRequest) -> Route:
+        check_path(request.path)
+        # A path that normalises differently upstream could leave its
+        # route, so dot segments are refused in any encoding.
+        if ".." in unquote(unquote(request.path)).split("/"):
+            raise RequestInvalid("the path holds '..'; send it resolved")
+        route = self._snapshot.rules.find_route(request.method, request.path)
+        if route is None:
+            raise RouteMissing(
+                f"no route takes {request.method} on this path; "
+                "look at the operator's rules"
+            )
+        return route
+
+    def _find_caller(self, request: HTTPServerRequest, route: Route) -> Caller:
+        if route.access is Access.OPEN:
+            return Caller(route.workspace, "")
+        record = self.authenticate(request.headers)
+        if record.workspace not in self._snapshot.rules.workspaces:
+            raise KeyRefused(
+                "the key's workspace has no rule; ask your operator"
+            )
+        return Caller(record.workspace, record.digest)
+
+
+def read_key(headers: HTTPHeaders) -> str:
+    """Return the one key that came with a request.
+
+    :raises KeyMissing: when there is none.
+    :raises RequestInvalid: when there are several different ones.
+    """
+    keys = {value.strip() for value in headers.get_list("X-Api-Key")}
+    for value in headers.get_list("Authorization"):
+        if value.lower().startswith(_BEARER):
+            keys.add(value[len(_BEARER) :].strip())
+    keys.discard("")
+    if not keys:
+        raise KeyMissing("no key came; send 'Authorization: Bearer KEY'")
+    if len(keys) > 1:
+        raise RequestInvalid("several keys came; send one")
+    return keys.pop()
+
+
+def read_idempotency_key(headers: HTTPHeaders) -> str:
+    """Return the idempotency key, or an empty text.
+
+    :raises RequestInvalid: when it is doubled or too long.
+    """
+    values = headers.get_list(IDEMPOTENCY_HEADER)
+    if len(values) > 1:
+        raise RequestInvalid("several Idempotency-Key came; send one")
+    key = values[0].strip() if values else ""
+    if len(key) > MAX_IDEMPOTENCY_CHARS:
+        raise RequestInvalid(
+            f"the Idempotency-Key is longer than {MAX_IDEMPOTENCY_CHARS} "
+            "characters; send a shorter one"
+        )
+    return key
+
+
+def _read_deadline(headers: HTTPHeaders, default_s: float) -> float:
+    text = headers.get(DEADLINE_HEADER)
+    if text is None:
+        return default_s
+    if not text.isdecimal() or not 1 <= int(text) <= MAX_DEADLINE_MS:
+        raise RequestInvalid(
+            f"{DEADLINE_HEADER} must be 1 to {MAX_DEADLINE_MS} milliseconds"
+        )
+    return int(text) / MS_PER_S
--- /dev/null
+++ b/src/gypsummount/_entry/budgets.py
@@ -0,0 +1,239 @@
+"""The budgets that an entry holds: shares, slots and waiting for them."""
+
+from asyncio import Event
+from asyncio import wait_for
+from collections.abc import Callable
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._common.wire import pack_amount
+from gypsummount._common.wire import unpack_amount
+from gypsummount._core.amounts import Amount
+from gypsummount._core.loans import BorrowRequest
+from gypsummount._core.loans import Loan
+from gypsummount._core.loans import LoanReturn
+from gypsummount._core.naming import parse_upstream
+from gypsummount._core.naming import UpstreamName
+from gypsummount._core.shares import RateShare
+from gypsummount._core.slots import SlotShare
+from gypsummount._proto import peer_pb2
+from gypsummount.errors import RateExceeded
+
+MAX_WAITING = 256
+LONGEST_WAIT_S = 0.4
+SHORTEST_SLEEP_S = 0.001
+
+
+class EntryBudgets:
+    """All shares of one entry, kept in step with the ledgers.
+
+    ``pull`` is called with the name of a budget that runs low.
+    """
+
+    def __init__(self, holder: str, pull: Callable[[str], None]) -> None:
+        self._holder = holder
+        self._pull = pull
+        self._clock = read_monotonic
+        self._waiting: dict[str, int] = {}
+        self._arrivals: dict[str, Event] = {}
+        self._views: dict[str, peer_pb2.LedgerView] = {}
+        self._totals: dict[str, Amount] = {}
+        self._noted = False
+        self._lends = True
+        self._is_retired = False
+        self.suspensions = 0
+        self.rates: dict[str, RateShare] = {}
+        self.slots: dict[UpstreamName, SlotShare] = {}
+
+    @property
+    def is_suspended(self) -> bool:
+        """Tell whether a share waits for the ledger after a pause."""
+        return any(
+            share.is_suspended
+            for group in (self.rates, self.slots)
+            for share in group.values()
+        )
+
+    def set_totals(self, totals: dict[str, Amount]) -> None:
+        """Take the budgets' totals from the configuration."""
+        self._totals = totals
+
+    def find_total(self, budget: str) -> Amount | None:
+        """Return the total of a rate budget."""
+        return self._totals.get(budget)
+
+    def take_ledger(self, view: peer_pb2.LedgerView) -> None:
+        """Follow a ledger that is at least as new as the known one.
+
+        After a pause only a ledger that was read later counts.
+        """
+        self.advance()
+        if self._is_retired:
+            return
+        if view.suspensions < self.suspensions:
+            return
+        known = self._views.get(view.scope)
+        if known is not None and view.seq < known.seq:
+            return
+        self._views[view.scope] = view
+        named = {account.budget for account in view.accounts}
+        if known is not None:
+            for account in known.accounts:
+                if account.budget not in named:
+                    self._set_owned(account.budget, Amount(0.0, 0.0))
+        for account in view.accounts:
+            granted = unpack_amount(account.granted)
+            target = unpack_amount(account.target)
+            self._set_owned(account.budget, granted.cap(target))
+
+    def list_confirmations(self) -> list[peer_pb2.Confirmation]:
+        """Return the parts that have come down to their targets."""
+        ready = []
+        for view in self._views.values():
+            for account in view.accounts:
+                granted = unpack_amount(account.granted)
+                lowered = granted.cap(unpack_amount(account.target))
+                if granted.fits(lowered):
+                    continue
+                if self._can_confirm(account.budget):
+                    ready.append(
+                        peer_pb2.Confirmation(
+                            scope=view.scope,
+                            seq=view.seq,
+                            budget=account.budget,
+                            amount=pack_amount(lowered),
+                        )
+                    )
+        return ready
+
+    def advance(self) -> None:
+        """Bring every share up to the present; call it regularly."""
+        now = self._clock()
+        for share in self.rates.values():
+            share.advance(now)
+        for slot in self.slots.values():
+            slot.advance(now)
+        suspended = self.is_suspended
+        if suspended and not self._noted:
+            self.suspensions += 1
+        self._noted = suspended
+
+    async def admit(self, budget: str, count: float, deadline: float) -> None:
+        """Spend from a budget, waiting for a loan within the limit.
+
+        :raises RateExceeded: when there is no token in time.
+        """
+        now = self._clock()
+        share = self.rates.get(budget)
+        if share is None:
+            raise RateExceeded(
+                f"no share of '{budget}' has arrived yet; try again in 1 s"
+            )
+        share.record_demand(now, count)
+        waiting = self._waiting.get(budget, 0)
+        if waiting == 0 and share.try_spend(now, count):
+            if share.is_low(now):
+                self._pull(budget)
+            return
+        if waiting >= MAX_WAITING:
+            raise _build_refusal(budget)
+        self._waiting[budget] = waiting + 1
+        try:
+            await self._wait_spend(share, count, deadline)
+        finally:
+            self._waiting[budget] -= 1
+
+    async def charge(self, budget: str, count: float, deadline: float) -> None:
+        """Spend a large count in parts that the share can hold."""
+        left = count
+        while left > 0:
+            share = self.rates.get(budget)
+            if share is None:
+                return
+            part = min(left, max(1.0, share.usable.burst))
+            await self.admit(budget, part, deadline)
+            left -= part
+
+    def lend(self, request: BorrowRequest) -> Loan | None:
+        """Answer a peer's request for part of a share."""
+        share = self.rates.get(request.budget)
+        if share is None or not self._lends:
+            return None
+        return share.lend(request, self._clock())
+
+    def stop_lending(self) -> None:
+        """Lend no more, so that the shares can be handed on."""
+        self._lends = False
+
+    def has_lent_nothing(self) -> bool:
+        """Tell whether no part of a share is with a peer."""
+        self.advance()
+        return all(share.lent.is_zero for share in self.rates.values())
+
+    def retire(self) -> None:
+        """Stop using every share for good."""
+        self._views.clear()
+        self.rates.clear()
+        self.slots.clear()
+        self._is_retired = True
+
+    def take_back(self, message: LoanReturn) -> None:
+        """Credit a returned loan."""
+        share = self.rates.get(message.budget)
+        if share is not None:
+            share.take_back(message, self._clock())
+            self.wake(message.budget)
+
+    def wake(self, budget: str) -> None:
+        """Wake the requests that wait for a budget."""
+        event = self._arrivals.pop(budget, None)
+        if event is not None:
+            event.set()
+
+    async def _wait_spend(
+        self, share: RateShare, count: float, deadline: float
+    ) -> None:
+        budget = share.budget
+        limit = min(deadline, self._clock() + LONGEST_WAIT_S)
+        while True:
+            self._pull(budget)
+            now = self._clock()
+            if share.try_spend(now, count):
+                return
+            if now >= limit:
+                raise _build_refusal(budget)
+            own_wait = max(SHORTEST_SLEEP_S, share.find_wait(count))
+            event = self._arrivals.setdefault(budget, Event())
+            try:
+                await wait_for(event.wait(), min(own_wait, limit - now))
+            except TimeoutError:
+                continue
+
+    def _set_owned(self, budget: str, owned: Amount) -> None:
+        now = self._clock()
+        if budget.startswith("slot:"):
+            upstream = parse_upstream(budget)
+            slot = self.slots.get(upstream)
+            if slot is None:
+                slot = SlotShare(upstream.server, now)
+                self.slots[upstream] = slot
+            slot.confirm_owned(int(owned.burst), now)
+            return
+        share = self.rates.get(budget)
+        if share is None:
+            share = RateShare(budget, self._holder, now)
+            self.rates[budget] = share
+        share.confirm_owned(owned, now)
+        self.wake(budget)
+
+    def _can_confirm(self, budget: str) -> bool:
+        if budget.startswith("slot:"):
+            slot = self.slots.get(parse_upstream(budget))
+            return slot is not None and slot.can_confirm()
+        share = self.rates.get(budget)
+        return share is not None and share.can_confirm()
+
+
+def _build_refusal(budget: str) -> RateExceeded:
+    return RateExceeded(
+        f"'{budget}' is over its rate; send less or try again in 1 s"
+    )
--- /dev/null
+++ b/src/gypsummount/_entry/connections.py
@@ -0,0 +1,342 @@
+"""Kept connections to upstreams; reused only after a clean exchange."""
+
+from asyncio import CancelledError
+from asyncio import wait_for
+from dataclasses import dataclass
+from socket import AF_INET
+from socket import AF_INET6
+from socket import IPPROTO_TCP
+from socket import MSG_DONTWAIT
+from socket import MSG_PEEK
+from socket import SO_KEEPALIVE
+from socket import socket
+from socket import SOL_SOCKET
+from socket import TCP_KEEPCNT
+from socket import TCP_KEEPIDLE
+from socket import TCP_KEEPINTVL
+from socket import TCP_NODELAY
+from socket import TCP_USER_TIMEOUT
+
+from tornado.http1connection import HTTP1Connection
+from tornado.http1connection import HTTP1ConnectionParameters
+from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPInputError
+from tornado.httputil import HTTPMessageDelegate
+from tornado.httputil import RequestStartLine
+from tornado.httputil import ResponseStartLine
+from tornado.iostream import IOStream
+from tornado.iostream import StreamClosedError
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._common.settings import split_address
+from gypsummount._core.sanitizing import Header
+from gypsummount.errors import GypsummountError
+
+CONNECT_LIMIT_S = 1.0
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_COUNT = 2
+UNACKED_LIMIT_MS = 2000
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+MAX_IDLE = 64
+MAX_IDLE_AGE_S = 60.0
+FRESH_S = 1.0
+REQUEST_ID_HEADER = "X-Request-Id"
+
+
+class ExchangeError(GypsummountError):
+    """An exchange with an upstream failed.
+
+    ``sent`` tells whether a byte of the request may have left.
+    """
+
+    code = "exchange_failed"
+
+    def __init__(self, message: str, *, sent: bool) -> None:
+        super().__init__(message)
+        self.sent = sent
+
+
+class ExchangeTimeout(ExchangeError):
+    """No complete answer came within the time limit."""
+
+    code = "exchange_timeout"
+
+
+@dataclass(slots=True, frozen=True)
+class UpstreamRequest:
+    """What is written to an upstream."""
+
+    method: str
+    target: str
+    headers: tuple[Header, ...]
+    body: bytes
+    request_id: str
+
+
+@dataclass(slots=True)
+class UpstreamAnswer:
+    """A complete answer of an upstream."""
+
+    status: int
+    reason: str
+    headers: list[Header]
+    body: bytes
+
+
+class _AnswerReader(HTTPMessageDelegate):
+    """Collects one answer and notes whether it is complete."""
+
+    def __init__(self) -> None:
+        self.line: ResponseStartLine | None = None
+        self.headers = HTTPHeaders()
+        self.chunks: list[bytes] = []
+        self.is_complete = False
+
+    def headers_received(
+        self, start_line: ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        self.line = start_line
+        self.headers = headers
+
+    def data_received(self, chunk: bytes) -> None:
+        self.chunks.append(chunk)
+
+    def finish(self) -> None:
+        self.is_complete = True
+
+    @property
+    def is_framed(self) -> bool:
+        """Tell whether the end of the body can be told from a cut."""
+        if self.line is None or self.line.code in (204, 304):
+            return True
+        chunked = "chunked" in self.headers.get("Transfer-Encoding", "")
+        return chunked or "Content-Length" in self.headers
+
+    @property
+    def keeps_alive(self) -> bool:
+        """Tell whether the upstream keeps the connection open."""
+        if self.line is None or self.line.version != "HTTP/1.1":
+            return False
+        return self.headers.get("Connection", "").lower() != "close"
+
+
+class UpstreamConnection:
+    """One connection; carries one exchange at a time."""
+
+    __slots__ = ("_stream", "exchanges", "used_at")
+
+    def __init__(self, stream: IOStream, now: float) -> None:
+        self._stream = stream
+        self.exchanges = 0
+        self.used_at = now
+
+    def close(self) -> None:
+        """Close the connection; the upstream sees a cancellation."""
+        self._stream.close()
+
+    def is_reusable(self) -> bool:
+        """Tell whether nothing arrived since the last exchange."""
+        if self._stream.closed():
+            return False
+        # Tornado has no public view of bytes that were read ahead.
+        if self._stream._read_buffer_size:
+            return False
+        try:
+            self._stream.socket.recv(1, MSG_PEEK | MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    async def exchange(
+        self, request: UpstreamRequest, host: str, limit_s: float
+    ) -> UpstreamAnswer:
+        """Send a request and return its complete answer.
+
+        The connection is closed unless the exchange was clean.
+
+        :raises ExchangeError: when the answer is cut, malformed or
+            belongs to another request.
+        """
+        is_clean = False
+        reader = _AnswerReader()
+        try:
+            await wait_for(self._talk(request, host, reader), limit_s)
+            answer = _build_answer(request, reader)
+            is_clean = reader.keeps_alive
+        except TimeoutError:
+            raise ExchangeTimeout(
+                f"{host} gave no complete answer in {limit_s:.3f} s; "
+                "look at its health",
+                sent=True,
+            ) from None
+        except (OSError, HTTPInputError, StreamClosedError) as error:
+            raise ExchangeError(
+                f"the exchange with {host} broke ({error}); "
+                "look at its health",
+                sent=True,
+            ) from None
+        finally:
+            self.exchanges += 1
+            self.used_at = read_monotonic()
+            if not is_clean:
+                self.close()
+        return answer
+
+    async def _talk(
+        self, request: UpstreamRequest, host: str, reader: _AnswerReader
+    ) -> None:
+        parameters = HTTP1ConnectionParameters(max_body_size=MAX_ANSWER_BYTES)
+        connection = HTTP1Connection(self._stream, True, parameters)
+        headers = _build_headers(request, host)
+        line = RequestStartLine(request.method, request.target, "HTTP/1.1")
+        connection.write_headers(line, headers, request.body or None)
+        connection.finish()
+        await connection.read_response(reader)
+
+
+def _build_headers(request: UpstreamRequest, host: str) -> HTTPHeaders:
+    headers = HTTPHeaders()
+    headers.add("Host", host)
+    for line in request.headers:
+        headers.add(line.name, line.value)
+    if request.body or request.method in ("POST", "PUT", "PATCH"):
+        headers["Content-Length"] = str(len(request.body))
+    headers[REQUEST_ID_HEADER] = request.request_id
+    return headers
+
+
+def _build_answer(
+    request: UpstreamRequest, reader: _AnswerReader
+) -> UpstreamAnswer:
+    if reader.line is None or not reader.is_complete:
+        raise ExchangeError(
+            "the answer was cut short; look at the upstream", sent=True
+        )
+    if not reader.is_framed and request.method != "HEAD":
+        raise ExchangeError(
+            "the answer has no length, so a cut cannot be told; let the "
+            "upstream send Content-Length or chunks",
+            sent=True,
+        )
+    echoed = reader.headers.get(REQUEST_ID_HEADER)
+    if echoed and echoed != request.request_id:
+        raise ExchangeError(
+            "the answer belongs to another request; look at the upstream",
+            sent=True,
+        )
+    headers = [Header(name, value) for name, value in reader.headers.get_all()]
+    return UpstreamAnswer(
+        reader.line.code, reader.line.reason, headers, b"".join(reader.chunks)
+    )
+
+
+class ConnectionPool:
+    """Idle connections to one upstream, the latest used first."""
+
+    __slots__ = ("_host", "_idle", "address", "opened")
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._host = address
+        self._idle: list[UpstreamConnection] = []
+        self.opened = 0
+
+    @property
+    def idle(self) -> int:
+        """Return the number of idle connections."""
+        return len(self._idle)
+
+    async def send(
+        self,
+        request: UpstreamRequest,
+        limit_s: float,
+        *,
+        repeatable: bool,
+        new_only: bool = False,
+    ) -> UpstreamAnswer:
+        """Exchange over a kept or a new connection.
+
+        A request that may not be repeated goes only over a connection
+        that has answered within the last second, since another may
+        have gone silent.
+
+        :raises ExchangeError: as :meth:`UpstreamConnection.exchange`.
+        """
+        started = read_monotonic()
+        connection = None
+        if not new_only:
+            connection = self._take_idle(fresh_only=not repeatable)
+        if connection is None:
+            connection = await self._open(min(limit_s, CONNECT_LIMIT_S))
+        left_s = limit_s - (read_monotonic() - started)
+        try:
+            answer = await connection.exchange(
+                request, self._host, max(0.001, left_s)
+            )
+        except ExchangeTimeout:
+            self.close()
+            raise
+        self._keep(connection)
+        return answer
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
+
+    def _take_idle(self, *, fresh_only: bool) -> UpstreamConnection | None:
+        now = read_monotonic()
+        while self._idle:
+            connection = self._idle.pop()
+            age_s = now - connection.used_at
+            if age_s > MAX_IDLE_AGE_S:
+                connection.close()
+                continue
+            if fresh_only and age_s > FRESH_S:
+                self._idle.append(connection)
+                return None
+            if connection.is_reusable():
+                return connection
+            connection.close()
+        return None
+
+    def _keep(self, connection: UpstreamConnection) -> None:
+        if len(self._idle) >= MAX_IDLE or not connection.is_reusable():
+            connection.close()
+            return
+        self._idle.append(connection)
+
+    async def _open(self, limit_s: float) -> UpstreamConnection:
+        host, port = split_address(self.address)
+        family = AF_INET6 if ":" in host else AF_INET
+        stream = IOStream(
+            _create_socket(family), max_buffer_size=2 * MAX_ANSWER_BYTES
+        )
+        try:
+            await wait_for(stream.connect((host, port)), limit_s)
+        except (TimeoutError, OSError, StreamClosedError) as error:
+            stream.close()
+            raise ExchangeError(
+                f"cannot connect to {self.address} ({error!r}); "
+                "look whether it is up",
+                sent=False,
+            ) from None
+        except CancelledError:
+            stream.close()
+            raise
+        self.opened += 1
+        return UpstreamConnection(stream, read_monotonic())
+
+
+def _create_socket(family: int) -> socket:
+    raw = socket(family)
+    raw.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+    raw.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
+    raw.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    raw.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_IDLE_S)
+    raw.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_COUNT)
+    raw.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKED_LIMIT_MS)
+    return raw
--- /dev/null
+++ b/src/gypsummount/_entry/front.py
@@ -0,0 +1,265 @@
+"""The HTTP interface of an entry for callers."""
+
+from asyncio import CancelledError
+from asyncio import create_task
+from asyncio import Task
+from dataclasses import dataclass
+from json import dumps
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPServerRequest
+from tornado.httputil import responses
+from tornado.httputil import ResponseStartLine
+from tornado.iostream import StreamClosedError
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._common.logs import get_logger
+from gypsummount._common.metrics import Metrics
+from gypsummount._common.metrics import Series
+from gypsummount._core.keys import KeyRecord
+from gypsummount._core.lookups import LOOKUP_TTL_S
+from gypsummount._core.lookups import Place
+from gypsummount._core.lookups import rank_entries
+from gypsummount._core.outcomes import StoredAnswer
+from gypsummount._entry.arrivals import ArrivalReader
+from gypsummount._entry.arrivals import IDEMPOTENCY_HEADER
+from gypsummount._entry.homes import Homes
+from gypsummount._entry.requests import SteeredRequest
+from gypsummount._entry.snapshot import Snapshot
+from gypsummount.errors import NotReady
+from gypsummount.errors import Outcome
+from gypsummount.errors import RequestError
+from gypsummount.errors import RequestInvalid
+
+LOOKUP_PATH = "/v1/lookup"
+OWN_PREFIX = "/v1"
+OUTCOME_HEADER = "Gypsummount-Outcome"
+MAX_BODY_BYTES = 16 * 1024 * 1024
+IDLE_LIMIT_S = 75
+NO_BODY = (204, 304)
+
+_log = get_logger("front")
+
+
+@dataclass(slots=True, frozen=True)
+class _LookupName:
+    workspace: str
+    service: str
+
+
+class Front:
+    """Answers look-ups from memory and steers every other request."""
+
+    def __init__(
+        self,
+        snapshot: Snapshot,
+        reader: ArrivalReader,
+        homes: Homes,
+        metrics: Metrics,
+        place: Place,
+    ) -> None:
+        self._snapshot = snapshot
+        self._reader = reader
+        self._homes = homes
+        self._metrics = metrics
+        self._place = place
+        self._lookups: dict[_LookupName, bytes] = {}
+        self._lookup_changes = -1
+        self._tasks: set[Task[None]] = set()
+        self._server = HTTPServer(
+            self._receive,
+            max_body_size=MAX_BODY_BYTES,
+            idle_connection_timeout=IDLE_LIMIT_S,
+        )
+        self.is_closing = False
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests under way."""
+        return len(self._tasks)
+
+    def listen(self, sockets: list) -> None:
+        """Begin to accept connections."""
+        self._server.add_sockets(sockets)
+
+    def stop_listening(self) -> None:
+        """Accept no further connections."""
+        self._server.stop()
+
+    async def close(self) -> None:
+        """Drop all connections."""
+        self._server.stop()
+        for task in list(self._tasks):
+            task.cancel()
+        await self._server.close_all_connections()
+
+    def _receive(self, request: HTTPServerRequest) -> None:
+        if request.path == LOOKUP_PATH and request.method == "GET":
+            self._answer_lookup(request)
+            return
+        task = create_task(self._serve(request))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        request.connection.set_close_callback(task.cancel)
+
+    def _answer_lookup(self, request: HTTPServerRequest) -> None:
+        try:
+            body = self._find_lookup(request)
+        except RequestError as error:
+            self._write_error(request, error, Outcome.NOT_RUN)
+            return
+        headers = HTTPHeaders(
+            {
+                "Content-Type": "application/json",
+                "Content-Length": str(len(body)),
+                "Cache-Control": f"private, max-age={LOOKUP_TTL_S}",
+            }
+        )
+        line = ResponseStartLine("HTTP/1.1", 200, "OK")
+        request.connection.write_headers(line, headers, body)
+        request.connection.finish()
+        self._metrics.count("lookups.answered")
+
+    def _find_lookup(self, request: HTTPServerRequest) -> bytes:
+        if not self._snapshot.is_ready:
+            raise NotReady("no configuration has arrived; try again in 1 s")
+        record = self._reader.authenticate(request.headers)
+        values = request.arguments.get("service", [])
+        service = values[0].decode("utf-8", "replace") if values else ""
+        if service not in self._snapshot.rules.services:
+            raise RequestInvalid("no such service; send ?service=NAME")
+        if self._lookup_changes != self._snapshot.changes:
+            self._lookups.clear()
+            self._lookup_changes = self._snapshot.changes
+        name = _LookupName(record.workspace, service)
+        body = self._lookups.get(name)
+        if body is None:
+            body = self._build_lookup(record, service)
+            self._lookups[name] = body
+        return body
+
+    def _build_lookup(self, record: KeyRecord, service: str) -> bytes:
+        ranked = rank_entries(
+            self._snapshot.members, record.workspace, self._place
+        )
+        if not ranked:
+            raise NotReady("no entry serves yet; try again in 1 s")
+        return dumps(
+            {
+                "service": service,
+                "ttl_s": LOOKUP_TTL_S,
+                "entries": [
+                    {
+                        "address": entry.address,
+                        "incarnation": entry.token,
+                        "weight": entry.weight,
+                    }
+                    for entry in ranked
+                ],
+            }
+        ).encode()
+
+    async def _serve(self, request: HTTPServerRequest) -> None:
+        started = read_monotonic()
+        steered: SteeredRequest | None = None
+        try:
+            if request.path.startswith(f"{OWN_PREFIX}/"):
+                raise RequestInvalid(
+                    f"no such resource; use GET {LOOKUP_PATH}?service=NAME"
+                )
+            steered = self._reader.read(request)
+            answer = await self._homes.run(steered)
+            self._write_answer(request, answer)
+            series = Series(steered.workspace, steered.route.prefix)
+            self._metrics.record(series, read_monotonic() - started)
+            self._metrics.count("steering.answered")
+        except RequestError as error:
+            outcome = self._find_outcome(request, steered, error)
+            self._write_error(request, error, outcome)
+        except StreamClosedError:
+            self._metrics.count("steering.callers_lost")
+        except CancelledError:
+            self._metrics.count("steering.callers_lost")
+            raise
+        except Exception:
+            _log.exception("A request failed unexpectedly.")
+            error = RequestError("an internal fault; look it up")
+            self._write_error(request, error, Outcome.UNKNOWN)
+
+    def _find_outcome(
+        self,
+        request: HTTPServerRequest,
+        steered: SteeredRequest | None,
+        error: RequestError,
+    ) -> Outcome:
+        """Return the outcome of the key, not just of this attempt.
+
+        A refusal before the key's home was asked says nothing of
+        earlier attempts with the same key.
+        """
+        if steered is not None:
+            return error.outcome
+        key = request.headers.get(IDEMPOTENCY_HEADER)
+        if not key or error.outcome is not Outcome.NOT_RUN:
+            return error.outcome
+        if self._is_repeatable(request):
+            return error.outcome
+        return Outcome.UNKNOWN
+
+    def _is_repeatable(self, request: HTTPServerRequest) -> bool:
+        rules = self._snapshot.rules
+        route = rules.find_route(request.method, request.path)
+        return route is not None and route.repeatable
+
+    def _write_answer(
+        self, request: HTTPServerRequest, answer: StoredAnswer
+    ) -> None:
+        request.connection.set_close_callback(None)
+        headers = HTTPHeaders()
+        for name, value in answer.headers:
+            headers.add(name, value)
+        body = answer.body
+        if request.method == "HEAD" or answer.status in NO_BODY:
+            body = b""
+        if answer.status not in NO_BODY:
+            headers["Content-Length"] = str(len(body))
+        if self.is_closing:
+            headers["Connection"] = "close"
+        line = ResponseStartLine("HTTP/1.1", answer.status, answer.reason)
+        request.connection.write_headers(line, headers, body)
+        request.connection.finish()
+
+    def _write_error(
+        self,
+        request: HTTPServerRequest,
+        error: RequestError,
+        outcome: Outcome,
+    ) -> None:
+        self._metrics.count(f"steering.refused.{error.code}")
+        request.connection.set_close_callback(None)
+        body = dumps(
+            {
+                "code": error.code,
+                "message": str(error),
+                "outcome": outcome.value,
+            }
+        ).encode()
+        if request.method == "HEAD":
+            body = b""
+        headers = HTTPHeaders(
+            {
+                "Content-Type": "application/json",
+                "Content-Length": str(len(body)),
+                OUTCOME_HEADER: outcome.value,
+            }
+        )
+        if error.retry_after_s is not None:
+            headers["Retry-After"] = str(error.retry_after_s)
+        reason = responses.get(error.status, "Unknown")
+        line = ResponseStartLine("HTTP/1.1", error.status, reason)
+        try:
+            request.connection.write_headers(line, headers, body)
+            request.connection.finish()
+        except StreamClosedError:
+            self._metrics.count("steering.callers_lost")
--- /dev/null
+++ b/src/gypsummount/_entry/homes.py
@@ -0,0 +1,194 @@
+"""Requests that may run at most once, decided at the key's home."""
+
+from asyncio import CancelledError
+from asyncio import create_task
+from asyncio import shield
+from asyncio import Task
+from asyncio import wait_for
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._core.outcomes import HomeToken
+from gypsummount._core.outcomes import OutcomeTable
+from gypsummount._core.outcomes import parse_home
+from gypsummount._core.outcomes import RequestKey
+from gypsummount._core.outcomes import StoredAnswer
+from gypsummount._core.outcomes import Verdict
+from gypsummount._entry.peers import PeerCalls
+from gypsummount._entry.requests import SteeredRequest
+from gypsummount._entry.snapshot import Snapshot
+from gypsummount._entry.steering import Steering
+from gypsummount.errors import ClaimUnavailable
+from gypsummount.errors import KeyReuse
+from gypsummount.errors import Outcome
+from gypsummount.errors import OutcomeTableFull
+from gypsummount.errors import OutcomeUnknown
+from gypsummount.errors import PeerUnreachable
+from gypsummount.errors import RequestError
+from gypsummount.errors import RequestInvalid
+
+Claim = Callable[[str, str, str], Awaitable[str | None]]
+_LOOK_UP = "look it up before you send a new one"
+
+
+@dataclass(slots=True, frozen=True)
+class _Running:
+    key: RequestKey
+    token: HomeToken
+
+
+class Homes:
+    """Runs each key at most once and answers every retry alike.
+
+    ``claim`` binds a key that is bound to no incarnation; it returns
+    the token in force, or None when the store is out of reach.
+    """
+
+    def __init__(
+        self,
+        snapshot: Snapshot,
+        steering: Steering,
+        peers: PeerCalls,
+        table: OutcomeTable,
+        claim: Claim,
+    ) -> None:
+        self._snapshot = snapshot
+        self._steering = steering
+        self._peers = peers
+        self._table = table
+        self._claim = claim
+        self._tasks: dict[_Running, Task[StoredAnswer]] = {}
+
+    @property
+    def running(self) -> int:
+        """Return the number of requests under way."""
+        return len(self._tasks)
+
+    async def run(self, request: SteeredRequest) -> StoredAnswer:
+        """Run a request at its home, or replay its outcome.
+
+        :raises RequestError: with the outcome of the request.
+        """
+        if request.route.repeatable or not request.idempotency_key:
+            return await self._steering.steer(request)
+        token = parse_home(request.idempotency_key)
+        if token is None:
+            token = await self._claim_key(request)
+        if token.incarnation != self._table.incarnation:
+            return await self._forward(request, token)
+        return await self.run_home(request, token)
+
+    async def run_home(
+        self, request: SteeredRequest, token: HomeToken
+    ) -> StoredAnswer:
+        """Run a request whose key is bound to this incarnation.
+
+        :raises RequestError: with the outcome of the request.
+        """
+        if token.incarnation != self._table.incarnation:
+            raise OutcomeUnknown(
+                f"the home of this key was restarted; {_LOOK_UP}"
+            )
+        key = RequestKey(request.workspace, request.idempotency_key)
+        running = _Running(key, token)
+        verdict = self._table.begin(
+            key, token, request.fingerprint, read_monotonic()
+        )
+        match verdict:
+            case Verdict.RUN:
+                task = create_task(self._execute(request, running))
+                self._tasks[running] = task
+                task.add_done_callback(lambda _: self._end(running))
+                return await self._await_task(task, request)
+            case Verdict.WAIT:
+                task = self._tasks.get(running)
+                if task is not None:
+                    return await self._await_task(task, request)
+            case Verdict.REPLAY:
+                return self._table.find(key, token).answer
+            case Verdict.FULL:
+                raise OutcomeTableFull(
+                    "too many keys are remembered; try again in 2 s"
+                )
+            case Verdict.REUSED:
+                raise KeyReuse(
+                    "this Idempotency-Key came with another request; "
+                    "use a new key"
+                )
+            case Verdict.NOT_ISSUED:
+                raise RequestInvalid(
+                    "the Idempotency-Key names an epoch that was never "
+                    "issued; take the token from a look-up"
+                )
+        raise OutcomeUnknown(
+            f"the outcome of this key is not known; {_LOOK_UP}"
+        )
+
+    async def _execute(
+        self, request: SteeredRequest, running: _Running
+    ) -> StoredAnswer:
+        try:
+            answer = await self._steering.steer(request)
+        except RequestError as error:
+            if error.outcome is Outcome.NOT_RUN:
+                self._table.withdraw(running.key, running.token)
+            else:
+                self._table.lose(running.key, running.token)
+            raise
+        except BaseException:
+            self._table.lose(running.key, running.token)
+            raise
+        self._table.finish(running.key, running.token, answer)
+        return answer
+
+    async def _await_task(
+        self, task: Task[StoredAnswer], request: SteeredRequest
+    ) -> StoredAnswer:
+        left_s = max(0.001, request.deadline - read_monotonic())
+        try:
+            return await wait_for(shield(task), left_s)
+        except TimeoutError:
+            raise OutcomeUnknown(
+                "the request is still running; retry with the same "
+                "Idempotency-Key"
+            ) from None
+        except CancelledError:
+            if task.cancelled():
+                raise OutcomeUnknown(
+                    f"the instance stopped; {_LOOK_UP}"
+                ) from None
+            raise
+
+    def _end(self, running: _Running) -> None:
+        task = self._tasks.pop(running, None)
+        if task is not None and not task.cancelled():
+            task.exception()
+
+    async def _claim_key(self, request: SteeredRequest) -> HomeToken:
+        own = str(self._table.issue_token(read_monotonic()))
+        text = await self._claim(
+            request.workspace, request.idempotency_key, own
+        )
+        token = parse_home(f"claim@{text}") if text else None
+        if token is None:
+            raise ClaimUnavailable(
+                "the key could not be claimed; take a token from a look-up "
+                "and send the key as RANDOM@TOKEN, or try again in 2 s"
+            )
+        return token
+
+    async def _forward(
+        self, request: SteeredRequest, token: HomeToken
+    ) -> StoredAnswer:
+        peer = self._snapshot.find_peer(token.incarnation)
+        if peer is None:
+            raise OutcomeUnknown(f"the home of this key is gone; {_LOOK_UP}")
+        address = peer.entry.peer_address
+        try:
+            return await self._peers.forward_home(address, request, str(token))
+        except PeerUnreachable as error:
+            raise OutcomeUnknown(
+                f"the home of this key is out of reach; {_LOOK_UP} ({error})"
+            ) from None
--- /dev/null
+++ b/src/gypsummount/_entry/link.py
@@ -0,0 +1,76 @@
+"""The entry's link to the agent of its instance."""
+
+from asyncio import sleep
+from collections.abc import Callable
+
+from grpc.aio import AioRpcError
+
+from gypsummount._common.logs import get_logger
+from gypsummount._common.rpc import CALL_LIMIT_S
+from gypsummount._common.rpc import Channels
+from gypsummount._proto import peer_pb2
+from gypsummount._proto.peer_pb2_grpc import AgentStub
+
+REPORT_PERIOD_S = 0.5
+RECONNECT_S = 0.5
+CLAIM_LIMIT_S = 6.0
+
+_log = get_logger("link")
+
+
+class AgentLink:
+    """Reports to the agent and takes its updates.
+
+    While the agent is dead, the entry goes on with what it has.
+    """
+
+    def __init__(
+        self,
+        channels: Channels,
+        address: str,
+        build_report: Callable[[], peer_pb2.EntryReport],
+        take_update: Callable[[peer_pb2.EntryUpdate], None],
+    ) -> None:
+        self._stub = AgentStub(channels.find(address))
+        self._build_report = build_report
+        self._take_update = take_update
+        self._is_connected = False
+
+    async def follow(self) -> None:
+        """Take updates for ever, connecting again when it breaks."""
+        while True:
+            try:
+                async for update in self._stub.Exchange(self._build_report()):
+                    self._note(connected=True)
+                    self._take_update(update)
+            except AioRpcError:
+                self._note(connected=False)
+            await sleep(RECONNECT_S)
+
+    async def report(self) -> bool:
+        """Send one report; tell whether the agent took it."""
+        try:
+            await self._stub.Report(self._build_report(), timeout=CALL_LIMIT_S)
+        except AioRpcError:
+            return False
+        return True
+
+    async def claim(self, workspace: str, key: str, token: str) -> str | None:
+        """Bind an idempotency key; return the token in force."""
+        message = peer_pb2.ClaimRequest(
+            workspace=workspace, key=key, token=token
+        )
+        try:
+            reply = await self._stub.Claim(message, timeout=CLAIM_LIMIT_S)
+        except AioRpcError:
+            return None
+        return reply.token if reply.known else None
+
+    def _note(self, *, connected: bool) -> None:
+        if connected == self._is_connected:
+            return
+        self._is_connected = connected
+        if connected:
+            _log.info("Connected to the agent.")
+        else:
+            _log.warning("Lost the agent; going on with the last state.")
--- /dev/null
+++ b/src/gypsummount/_entry/peers.py
@@ -0,0 +1,169 @@
+"""Calls from this entry to other entries."""
+
+from asyncio import wait_for
+
+from grpc import ChannelConnectivity
+from grpc.aio import AioRpcError
+from grpc.aio import Channel
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._common.rpc import CALL_LIMIT_S
+from gypsummount._common.rpc import Channels
+from gypsummount._common.wire import pack_amount
+from gypsummount._common.wire import unpack_amount
+from gypsummount._core.loans import BorrowRequest
+from gypsummount._core.loans import Loan
+from gypsummount._core.loans import LoanReturn
+from gypsummount._core.outcomes import StoredAnswer
+from gypsummount._entry.requests import SteeredRequest
+from gypsummount._proto import peer_pb2
+from gypsummount._proto.peer_pb2_grpc import EntryPeerStub
+from gypsummount.errors import OutcomeUnknown
+from gypsummount.errors import PeerUnreachable
+from gypsummount.errors import REQUEST_ERRORS
+from gypsummount.errors import RequestError
+from gypsummount.errors import UpstreamFailed
+
+CONNECT_LIMIT_S = 0.5
+
+
+class PeerCalls:
+    """Sends loans and forwarded requests to other entries."""
+
+    def __init__(self, channels: Channels, region: str) -> None:
+        self._channels = channels
+        self._region = region
+
+    async def borrow(
+        self, address: str, request: BorrowRequest
+    ) -> Loan | None:
+        """Ask a peer for a loan; None when it lends nothing."""
+        message = peer_pb2.BorrowRequest(
+            loan_id=request.loan_id,
+            budget=request.budget,
+            wanted=pack_amount(request.wanted),
+        )
+        stub = EntryPeerStub(self._channels.find(address))
+        try:
+            reply = await stub.Borrow(message, timeout=CALL_LIMIT_S)
+        except AioRpcError:
+            return None
+        if not reply.lent:
+            return None
+        return Loan(
+            request.loan_id,
+            request.budget,
+            unpack_amount(reply.amount),
+            reply.tokens,
+            reply.duration_s,
+        )
+
+    async def return_loan(self, address: str, message: LoanReturn) -> None:
+        """Hand a loan back; a lost message ends with the loan's time."""
+        packed = peer_pb2.LoanReturn(
+            loan_id=message.loan_id,
+            budget=message.budget,
+            tokens=message.tokens,
+        )
+        stub = EntryPeerStub(self._channels.find(address))
+        try:
+            await stub.Return(packed, timeout=CALL_LIMIT_S)
+        except AioRpcError:
+            return
+
+    async def is_reachable(self, address: str) -> bool:
+        """Tell whether a peer is connected, connecting if needed."""
+        channel = self._channels.find(address)
+        if channel.get_state(True) is ChannelConnectivity.READY:
+            return True
+        return await _wait_ready(channel)
+
+    async def forward_upstream(
+        self, address: str, request: SteeredRequest, version: str
+    ) -> StoredAnswer:
+        """Run a request on the upstreams of a peer's domain.
+
+        :raises RequestError: as the peer answered, or unknown.
+        """
+        message = self._build_forward(request)
+        message.mode = peer_pb2.FORWARD_MODE_UPSTREAM
+        message.version = version
+        return await self._forward(address, message, request)
+
+    async def forward_home(
+        self, address: str, request: SteeredRequest, token: str
+    ) -> StoredAnswer:
+        """Let the home of an idempotency key decide on a request.
+
+        :raises RequestError: as the home answered, or unknown.
+        """
+        message = self._build_forward(request)
+        message.mode = peer_pb2.FORWARD_MODE_HOME
+        message.idempotency_key = request.idempotency_key
+        message.home_token = token
+        return await self._forward(address, message, request)
+
+    def _build_forward(
+        self, request: SteeredRequest
+    ) -> peer_pb2.ForwardRequest:
+        return peer_pb2.ForwardRequest(
+            workspace=request.workspace,
+            key_digest=request.key_digest,
+            method=request.method,
+            path=request.path,
+            query=request.query,
+            headers=[
+                peer_pb2.Header(name=line.name, value=line.value)
+                for line in request.headers
+            ],
+            body=request.body,
+            deadline_s=request.deadline - read_monotonic(),
+            source_region=self._region,
+        )
+
+    async def _forward(
+        self,
+        address: str,
+        message: peer_pb2.ForwardRequest,
+        request: SteeredRequest,
+    ) -> StoredAnswer:
+        if not await self.is_reachable(address):
+            raise PeerUnreachable("a peer is out of reach; try again in 1 s")
+        stub = EntryPeerStub(self._channels.find(address))
+        left_s = request.deadline - read_monotonic()
+        if left_s <= 0:
+            raise PeerUnreachable("the deadline passed; allow more time")
+        try:
+            reply = await stub.Forward(message, timeout=left_s)
+        except AioRpcError as error:
+            raise _build_loss(request, error) from None
+        return _read_reply(reply)
+
+
+async def _wait_ready(channel: Channel) -> bool:
+    try:
+        await wait_for(channel.channel_ready(), CONNECT_LIMIT_S)
+    except TimeoutError:
+        return False
+    return True
+
+
+def _build_loss(request: SteeredRequest, error: AioRpcError) -> RequestError:
+    why = f"the entry that ran it gave no answer ({error.code().name})"
+    if request.route.repeatable:
+        return UpstreamFailed(f"{why}; send it again")
+    return OutcomeUnknown(
+        f"{why}; look it up, or retry with the same Idempotency-Key"
+    )
+
+
+def _read_reply(reply: peer_pb2.ForwardReply) -> StoredAnswer:
+    if not reply.answered:
+        kind = REQUEST_ERRORS.get(reply.error_code, UpstreamFailed)
+        raise kind(reply.error_message)
+    return StoredAnswer(
+        reply.status,
+        reply.reason,
+        tuple((line.name, line.value) for line in reply.headers),
+        reply.body,
+    )
--- /dev/null
+++ b/src/gypsummount/_entry/process.py
@@ -0,0 +1,251 @@
+"""One entry: its parts, its reports and its planned stop."""
+
+from asyncio import Event
+from asyncio import sleep
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from random import Random
+from secrets import token_hex
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._common.logs import get_logger
+from gypsummount._common.metrics import Metrics
+from gypsummount._common.rpc import Channels
+from gypsummount._common.rpc import open_server
+from gypsummount._common.rpc import start_server
+from gypsummount._common.settings import bind_address
+from gypsummount._common.tasks import repeat
+from gypsummount._common.tasks import start_task
+from gypsummount._common.wire import pack_entry
+from gypsummount._common.wire import pack_veto
+from gypsummount._core.charts import Machine
+from gypsummount._core.lookups import Place
+from gypsummount._core.membership import EntryInfo
+from gypsummount._core.outcomes import OutcomeTable
+from gypsummount._core.totals import list_rate_totals
+from gypsummount._entry.arrivals import ArrivalReader
+from gypsummount._entry.budgets import EntryBudgets
+from gypsummount._entry.front import Front
+from gypsummount._entry.homes import Homes
+from gypsummount._entry.lending import Borrower
+from gypsummount._entry.link import AgentLink
+from gypsummount._entry.link import REPORT_PERIOD_S
+from gypsummount._entry.peers import PeerCalls
+from gypsummount._entry.service import EntryService
+from gypsummount._entry.snapshot import Snapshot
+from gypsummount._entry.steering import Steering
+from gypsummount._entry.upstreams import Upstreams
+from gypsummount._entry.versions import Versions
+from gypsummount._proto import peer_pb2
+from gypsummount._proto.peer_pb2_grpc import add_EntryPeerServicer_to_server
+
+INCARNATION_BYTES = 6
+UPKEEP_PERIOD_S = 0.5
+FLUSH_PERIOD_S = 1.0
+POLL_S = 0.05
+LEND_END_LIMIT_S = 6.0
+RETIRE_LIMIT_S = 3.0
+
+_log = get_logger("entry")
+
+
+@dataclass(slots=True, frozen=True)
+class EntrySettings:
+    """Settings of an entry process; times are in seconds."""
+
+    instance: str
+    domain: str
+    region: str
+    listen: str
+    peer_listen: str
+    agent: str
+    pepper: bytes
+    statsd: str = ""
+    drain_s: float = 12.0
+    stop_limit_s: float = 30.0
+
+
+class EntryProcess:
+    """An entry that serves until it is told to stop."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        now = read_monotonic()
+        self._settings = settings
+        self._life = Machine("lifecycle")
+        self._stopping = Event()
+        self._retired = False
+        self._place = f"{settings.instance}/{settings.listen}"
+        self.incarnation = token_hex(INCARNATION_BYTES)
+        random = Random(self.incarnation)
+        prefix = f"gypsummount.entry.{settings.instance}"
+        self.metrics = Metrics(settings.statsd, prefix)
+        self.snapshot = Snapshot(settings.pepper, self._place, now)
+        self._channels = Channels()
+        self._peers = PeerCalls(self._channels, settings.region)
+        self._borrower = Borrower(
+            self.snapshot, self._peers, self.metrics, settings.region, random
+        )
+        self.budgets = EntryBudgets(self.incarnation, self._borrower.pull)
+        self._borrower.budgets = self.budgets
+        self.upstreams = Upstreams(self.snapshot, self.metrics, random)
+        self.versions = Versions(self.snapshot)
+        self._steering = Steering(
+            self.snapshot,
+            self.budgets,
+            self.upstreams,
+            self.versions,
+            self._peers,
+            settings.region,
+        )
+        self._table = OutcomeTable(self.incarnation, now)
+        self._link = AgentLink(
+            self._channels, settings.agent, self.build_report, self._take
+        )
+        self._homes = Homes(
+            self.snapshot,
+            self._steering,
+            self._peers,
+            self._table,
+            self._link.claim,
+        )
+        self.front = Front(
+            self.snapshot,
+            ArrivalReader(self.snapshot, self.incarnation),
+            self._homes,
+            self.metrics,
+            Place(settings.domain, settings.region),
+        )
+
+    @property
+    def phase(self) -> str:
+        """Return the state of the chart ``lifecycle``."""
+        return self._life.state
+
+    def stop(self) -> None:
+        """Ask for a planned stop."""
+        self._stopping.set()
+
+    async def run(self) -> None:
+        """Serve until asked to stop; then leave without cutting off."""
+        async with AsyncExitStack() as stack:
+            await self._start(stack)
+            await self._stopping.wait()
+            await self._leave()
+
+    async def _start(self, stack: AsyncExitStack) -> None:
+        settings = self._settings
+        sockets = bind_address("--listen", settings.listen)
+        server = open_server("--peer-listen", settings.peer_listen)
+        service = EntryService(
+            self.snapshot, self.budgets, self._steering, self._homes
+        )
+        add_EntryPeerServicer_to_server(service, server)
+        stack.callback(self.metrics.close)
+        stack.push_async_callback(self._channels.close)
+        stack.callback(self.upstreams.close)
+        stack.callback(self._borrower.close)
+        await start_server(stack, server)
+        self.front.listen(sockets)
+        stack.push_async_callback(self.front.close)
+        start_task(stack, self._link.follow(), "link")
+        start_task(
+            stack,
+            repeat(self._link.report, REPORT_PERIOD_S, "report"),
+            "report",
+        )
+        start_task(
+            stack, repeat(self._keep_up, UPKEEP_PERIOD_S, "upkeep"), "upkeep"
+        )
+        start_task(
+            stack, repeat(self._flush, FLUSH_PERIOD_S, "flush"), "flush"
+        )
+        _log.info("Listening on %s.", settings.listen)
+
+    async def _leave(self) -> None:
+        settings = self._settings
+        self._life.fire("stopped")
+        self.budgets.stop_lending()
+        _log.info("Leaving; serving for another %g s.", settings.drain_s)
+        await self._link.report()
+        await sleep(settings.drain_s)
+        self.front.is_closing = True
+        self.front.stop_listening()
+        await self._wait_until(self._is_idle, settings.stop_limit_s)
+        await self._borrower.return_idle(all_of_it=True)
+        await self._wait_until(self.budgets.has_lent_nothing, LEND_END_LIMIT_S)
+        if self.budgets.has_lent_nothing():
+            self.budgets.retire()
+            self._retired = True
+            await self._link.report()
+        self._life.fire("drained")
+        _log.info("Left; no request was cut.")
+
+    async def _wait_until(self, check, limit_s: float) -> None:  # noqa: ANN001
+        until = read_monotonic() + limit_s
+        while not check() and read_monotonic() < until:
+            await sleep(POLL_S)
+
+    def _is_idle(self) -> bool:
+        return not self.front.in_flight and not self._homes.running
+
+    def build_report(self) -> peer_pb2.EntryReport:
+        """Return what the agent is to know."""
+        return peer_pb2.EntryReport(
+            entry=pack_entry(self._build_info()),
+            confirmations=self.budgets.list_confirmations(),
+            vetoes=[pack_veto(veto) for veto in self.versions.own_vetoes],
+            config_serial=self.snapshot.config_serial,
+            keys_serial=self.snapshot.keys.serial,
+            suspensions=self.budgets.suspensions,
+            retired=self._retired,
+            place=self._place,
+            holder=self.incarnation,
+            series=[
+                peer_pb2.LatencySeries(
+                    workspace=row.workspace,
+                    route=row.route,
+                    count=row.count,
+                    p50_ms=row.p50_ms,
+                    p99_ms=row.p99_ms,
+                    max_ms=row.max_ms,
+                )
+                for row in self.metrics.summarise()
+            ],
+            counts=[
+                peer_pb2.Count(name=name, value=value)
+                for name, value in self.metrics.read_counts().items()
+            ],
+        )
+
+    def _build_info(self) -> EntryInfo:
+        return EntryInfo(
+            self._place,
+            str(self._table.issue_token(read_monotonic())),
+            self._settings.listen,
+            self._settings.peer_listen,
+            self.phase,
+            self.upstreams.list_loads(),
+        )
+
+    def _take(self, update: peer_pb2.EntryUpdate) -> None:
+        rules_changed = self.snapshot.take(update, read_monotonic())
+        if rules_changed:
+            self.budgets.set_totals(list_rate_totals(self.snapshot.rules))
+            _log.info("Took configuration %d.", self.snapshot.config_serial)
+        if self.snapshot.is_ready and self._life.can_fire("configured"):
+            self._life.fire("configured")
+        for view in update.ledgers:
+            self.budgets.take_ledger(view)
+        self.upstreams.follow(self.budgets.slots)
+        self.versions.forget_past()
+
+    async def _keep_up(self) -> None:
+        self.budgets.advance()
+        self.upstreams.follow(self.budgets.slots)
+        await self._borrower.return_idle()
+        addresses = {peer.entry.peer_address for peer in self.snapshot.peers}
+        addresses.add(self._settings.agent)
+        await self._channels.close_unused(addresses)
+
+    async def _flush(self) -> None:
+        self.metrics.flush()
--- /dev/null
+++ b/src/gypsummount/_entry/program.py
@@ -0,0 +1,110 @@
+"""The program ``gypsummount-entry``."""
+
+from typing import Annotated
+
+from typer import Option
+from typer import run as run_typer
+
+from gypsummount._common.logs import configure_logs
+from gypsummount._common.settings import check_address
+from gypsummount._common.settings import check_level
+from gypsummount._common.settings import check_name
+from gypsummount._common.settings import check_positive
+from gypsummount._common.settings import LogLevel
+from gypsummount._common.settings import on_stop
+from gypsummount._common.settings import read_secret
+from gypsummount._common.settings import run_program
+from gypsummount._common.settings import Statsd
+from gypsummount._entry.process import EntryProcess
+from gypsummount._entry.process import EntrySettings
+
+
+def serve(
+    instance: Annotated[
+        str,
+        Option(envvar="GYPSUMMOUNT_INSTANCE", help="Name of this instance."),
+    ],
+    domain: Annotated[
+        str,
+        Option(
+            envvar="GYPSUMMOUNT_DOMAIN",
+            help="Failure domain of this instance.",
+        ),
+    ],
+    region: Annotated[
+        str,
+        Option(envvar="GYPSUMMOUNT_REGION", help="Region of this instance."),
+    ],
+    pepper: Annotated[
+        str,
+        Option(
+            envvar="GYPSUMMOUNT_PEPPER",
+            help="Secret for hashing keys, shared by all instances "
+            "(16 characters or more); best given by the environment.",
+        ),
+    ],
+    listen: Annotated[
+        str,
+        Option(
+            envvar="GYPSUMMOUNT_LISTEN",
+            help="Address (IP:port) for callers.",
+        ),
+    ] = "127.0.0.1:8080",
+    peer_listen: Annotated[
+        str,
+        Option(
+            envvar="GYPSUMMOUNT_PEER_LISTEN",
+            help="Address (IP:port) for other entries (gRPC).",
+        ),
+    ] = "127.0.0.1:8081",
+    agent: Annotated[
+        str,
+        Option(
+            envvar="GYPSUMMOUNT_AGENT",
+            help="Address (IP:port) of this instance's agent (gRPC).",
+        ),
+    ] = "127.0.0.1:8082",
+    drain_s: Annotated[
+        float,
+        Option(
+            envvar="GYPSUMMOUNT_DRAIN_S",
+            help="Seconds to serve on after SIGTERM; longer than callers "
+            "keep look-up answers (10 s).",
+        ),
+    ] = 12.0,
+    stop_limit_s: Annotated[
+        float,
+        Option(
+            envvar="GYPSUMMOUNT_STOP_LIMIT_S",
+            help="Most seconds to wait for requests under way.",
+        ),
+    ] = 30.0,
+    statsd: Statsd = "",
+    log_level: LogLevel = "info",
+) -> None:
+    """Serve look-ups and steer requests of callers to upstreams."""
+
+    async def main() -> None:
+        configure_logs(check_level(log_level), "entry")
+        settings = EntrySettings(
+            check_name("--instance", instance),
+            check_name("--domain", domain),
+            check_name("--region", region),
+            check_address("--listen", listen),
+            check_address("--peer-listen", peer_listen),
+            check_address("--agent", agent),
+            read_secret("--pepper", pepper),
+            check_address("--statsd", statsd) if statsd else "",
+            check_positive("--drain-s", drain_s, "seconds"),
+            check_positive("--stop-limit-s", stop_limit_s, "seconds"),
+        )
+        process = EntryProcess(settings)
+        on_stop(process.stop)
+        await process.run()
+
+    run_program(main)
+
+
+def run() -> None:
+    """Run the program."""
+    run_typer(serve)
--- /dev/null
+++ b/src/gypsummount/_entry/requests.py
@@ -0,0 +1,60 @@
+"""Typed requests on their way through an entry."""
+
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from gypsummount._config.model import Route
+from gypsummount._core.outcomes import StoredAnswer
+from gypsummount._core.sanitizing import Header
+
+FINGERPRINT_BYTES = 16
+
+
+@dataclass(slots=True)
+class SteeredRequest:
+    """A request that was authenticated and matched to a route.
+
+    ``deadline`` is in monotonic seconds; ``key_digest`` is empty on
+    routes open to all; the headers hold no key.
+    """
+
+    workspace: str
+    key_digest: str
+    route: Route
+    method: str
+    path: str
+    query: str
+    headers: list[Header]
+    body: bytes
+    deadline: float
+    request_id: str
+    idempotency_key: str = ""
+
+    @property
+    def target(self) -> str:
+        """Return the path with the query."""
+        return f"{self.path}?{self.query}" if self.query else self.path
+
+    @property
+    def size(self) -> int:
+        """Return about how many bytes the request takes on a link."""
+        heads = sum(
+            len(line.name) + len(line.value) + 4 for line in self.headers
+        )
+        return len(self.target) + heads + len(self.body)
+
+    @property
+    def fingerprint(self) -> bytes:
+        """Return a hash that tells requests of one key apart."""
+        digest = blake2b(digest_size=FINGERPRINT_BYTES)
+        for part in (self.method, self.path, self.query):
+            digest.update(part.encode())
+            digest.update(b"\0")
+        digest.update(self.body)
+        return digest.digest()
+
+
+def find_answer_size(answer: StoredAnswer) -> int:
+    """Return about how many bytes an answer takes on a link."""
+    heads = sum(len(name) + len(value) + 4 for name, value in answer.headers)
+    return heads + len(answer.body)
