--- /dev/null
+++ b/src/gypsummount/_entry/snapshot.py
@@ -0,0 +1,130 @@
+"""What an entry knows of the configuration, keys and its peers."""
+
+from dataclasses import dataclass
+
+from gypsummount._common.wire import unpack_key
+from gypsummount._common.wire import unpack_member
+from gypsummount._common.wire import unpack_veto
+from gypsummount._config.model import KeyPolicy
+from gypsummount._config.model import RuleSet
+from gypsummount._config.model import StalePolicy
+from gypsummount._config.parser import load_rules
+from gypsummount._core.keys import KeyTable
+from gypsummount._core.membership import EntryInfo
+from gypsummount._core.membership import Member
+from gypsummount._core.rollouts import Veto
+from gypsummount._proto import peer_pb2
+
+
+@dataclass(slots=True)
+class RolloutShare:
+    """A rollout as its agent told it, with a local deadline.
+
+    ``ends_at`` is in monotonic seconds.
+    """
+
+    name: str
+    serial: int
+    attempt: int
+    phase: str
+    step: int
+    ends_at: float
+
+
+@dataclass(slots=True, frozen=True)
+class Peer:
+    """Another entry and where it runs."""
+
+    entry: EntryInfo
+    domain: str
+    region: str
+
+
+class Snapshot:
+    """The state that an entry works from when its agent is dead.
+
+    Every part is taken only if its serial is higher than the known one.
+    """
+
+    def __init__(self, pepper: bytes, name: str, now: float) -> None:
+        self._pepper = pepper
+        self._name = name
+        self.rules = RuleSet()
+        self.config_serial = 0
+        self.keys = KeyTable(pepper, 0, [])
+        self.rollouts: dict[str, RolloutShare] = {}
+        self.vetoes: set[Veto] = set()
+        self.members: list[Member] = []
+        self.peers: list[Peer] = []
+        self.draining: frozenset[str] = frozenset()
+        self.keys_may_be_stale = False
+        self.updated_at = now
+        self.changes = 0
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether a configuration has arrived."""
+        return self.config_serial > 0
+
+    def take(self, update: peer_pb2.EntryUpdate, now: float) -> bool:
+        """Take an update; tell whether the rules changed."""
+        self.updated_at = now
+        self.keys_may_be_stale = update.keys_may_be_stale
+        rules_changed = self._take_config(update)
+        if update.HasField("keys") and update.keys.serial > self.keys.serial:
+            records = [unpack_key(record) for record in update.keys.records]
+            self.keys = KeyTable(self._pepper, update.keys.serial, records)
+        self._take_rollouts(update, now)
+        self.vetoes.update(unpack_veto(veto) for veto in update.vetoes)
+        self.draining = frozenset(update.draining)
+        self._take_members(update)
+        self.changes += 1
+        return rules_changed
+
+    def are_keys_stale(self, now: float) -> bool:
+        """Tell whether withdrawals may have been missed for too long."""
+        policy: KeyPolicy = self.rules.key_policy
+        if policy.when_stale is StalePolicy.SERVE:
+            return False
+        if self.keys_may_be_stale:
+            return True
+        return now - self.updated_at > policy.stale_s
+
+    def find_peer(self, incarnation: str) -> Peer | None:
+        """Return the peer entry of an incarnation."""
+        for peer in self.peers:
+            if peer.entry.token.startswith(f"{incarnation}."):
+                return peer
+        return None
+
+    def _take_config(self, update: peer_pb2.EntryUpdate) -> bool:
+        if not update.HasField("config"):
+            return False
+        if update.config.serial <= self.config_serial:
+            return False
+        self.rules = load_rules(update.config.text)
+        self.config_serial = update.config.serial
+        return True
+
+    def _take_rollouts(self, update: peer_pb2.EntryUpdate, now: float) -> None:
+        for view in update.rollouts:
+            known = self.rollouts.get(view.name)
+            if known is not None and view.serial < known.serial:
+                continue
+            self.rollouts[view.name] = RolloutShare(
+                view.name,
+                view.serial,
+                view.attempt,
+                view.phase,
+                view.step,
+                now + view.remaining_s,
+            )
+
+    def _take_members(self, update: peer_pb2.EntryUpdate) -> None:
+        self.members = [unpack_member(member) for member in update.members]
+        self.peers = [
+            Peer(entry, member.domain, member.region)
+            for member in self.members
+            for entry in member.entries
+            if entry.name != self._name
+        ]
--- /dev/null
+++ b/src/gypsummount/_entry/steering.py
@@ -0,0 +1,192 @@
+"""Steering of one request: limits, version, and where it runs."""
+
+from asyncio import sleep
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._core.naming import name_link_budget
+from gypsummount._core.naming import name_workspace_budget
+from gypsummount._core.outcomes import StoredAnswer
+from gypsummount._entry.budgets import EntryBudgets
+from gypsummount._entry.peers import PeerCalls
+from gypsummount._entry.requests import find_answer_size
+from gypsummount._entry.requests import SteeredRequest
+from gypsummount._entry.snapshot import Peer
+from gypsummount._entry.snapshot import Snapshot
+from gypsummount._entry.upstreams import Upstreams
+from gypsummount._entry.versions import Choice
+from gypsummount._entry.versions import Versions
+from gypsummount.errors import NoCapacity
+from gypsummount.errors import Outcome
+from gypsummount.errors import OutcomeUnknown
+from gypsummount.errors import RateExceeded
+from gypsummount.errors import RequestError
+from gypsummount.errors import UpstreamFailed
+
+MAX_FORWARDS = 3
+RESCAN_S = 0.05
+
+
+class Steering:
+    """Decides where a request runs; the deciding entry runs it once."""
+
+    def __init__(
+        self,
+        snapshot: Snapshot,
+        budgets: EntryBudgets,
+        upstreams: Upstreams,
+        versions: Versions,
+        peers: PeerCalls,
+        region: str,
+    ) -> None:
+        self._snapshot = snapshot
+        self._budgets = budgets
+        self._upstreams = upstreams
+        self._versions = versions
+        self._peers = peers
+        self._region = region
+
+    async def steer(self, request: SteeredRequest) -> StoredAnswer:
+        """Admit a request and run it at most once if so required.
+
+        :raises RequestError: with the outcome of the request.
+        """
+        budget = name_workspace_budget(request.workspace)
+        await self._budgets.admit(budget, 1.0, request.deadline)
+        choice = self._versions.choose(request.route, read_monotonic())
+        started = read_monotonic()
+        try:
+            answer = await self._run_choice(request, choice)
+        except RequestError as error:
+            if error.outcome is not Outcome.NOT_RUN:
+                self._observe(request, choice, started, failed=True)
+            raise
+        failed = answer.status >= 500
+        self._observe(request, choice, started, failed=failed)
+        return answer
+
+    async def run_here(
+        self, request: SteeredRequest, version: str, source_region: str
+    ) -> StoredAnswer:
+        """Run a request that a peer steered to this domain.
+
+        :raises NoCapacity: beyond the headroom for foreign requests.
+        """
+        if not self._upstreams.allows_foreign(request.route.service):
+            raise NoCapacity("no headroom in this domain; try another")
+        answer = await self._upstreams.run(request, version, may_wait=False)
+        size = find_answer_size(answer)
+        try:
+            await self._charge_link(
+                self._region, source_region, size, request.deadline
+            )
+        except RateExceeded as error:
+            raise _build_late(request, error) from None
+        return answer
+
+    async def _run_choice(
+        self, request: SteeredRequest, choice: Choice
+    ) -> StoredAnswer:
+        if not choice.is_new:
+            return await self._place(request, choice.version, may_wait=True)
+        try:
+            return await self._place(request, choice.version, may_wait=False)
+        except NoCapacity:
+            choice.counter.withdraw_new()
+            return await self._place(request, choice.fallback, may_wait=True)
+
+    async def _place(
+        self, request: SteeredRequest, version: str, *, may_wait: bool
+    ) -> StoredAnswer:
+        service = request.route.service
+        while True:
+            if self._upstreams.has_free(service, version):
+                return await self._upstreams.run(
+                    request, version, may_wait=may_wait
+                )
+            answer = await self._try_peers(request, version)
+            if answer is not None:
+                return answer
+            if not may_wait:
+                break
+            if self._upstreams.has_version(service, version):
+                return await self._upstreams.run(
+                    request, version, may_wait=True
+                )
+            if read_monotonic() + RESCAN_S >= request.deadline:
+                break
+            await sleep(RESCAN_S)
+        raise NoCapacity(
+            f"no slot of {service} {version} is free; try again in 1 s"
+        )
+
+    async def _try_peers(
+        self, request: SteeredRequest, version: str
+    ) -> StoredAnswer | None:
+        failure: RequestError | None = None
+        for peer in self._list_targets(request.route.service):
+            try:
+                return await self._forward(peer, request, version)
+            except NoCapacity:
+                continue
+            except UpstreamFailed as error:
+                failure = error
+        if failure is not None:
+            raise failure
+        return None
+
+    async def _forward(
+        self, peer: Peer, request: SteeredRequest, version: str
+    ) -> StoredAnswer:
+        try:
+            await self._charge_link(
+                self._region, peer.region, request.size, request.deadline
+            )
+        except RateExceeded as error:
+            raise NoCapacity(str(error)) from None
+        return await self._peers.forward_upstream(
+            peer.entry.peer_address, request, version
+        )
+
+    async def _charge_link(
+        self, source: str, target: str, size: int, deadline: float
+    ) -> None:
+        if source == target or not target:
+            return
+        budget = name_link_budget(source, target)
+        if self._budgets.find_total(budget) is None:
+            return
+        await self._budgets.charge(budget, float(size), deadline)
+
+    def _list_targets(self, service: str) -> list[Peer]:
+        free: list[tuple[bool, int, Peer]] = []
+        for peer in self._snapshot.peers:
+            load = peer.entry.find_load(service)
+            if load is None or load.free < 1:
+                continue
+            if peer.entry.phase == "serving":
+                abroad = peer.region != self._region
+                free.append((abroad, -load.free, peer))
+        free.sort(key=lambda row: row[:2])
+        return [peer for _, _, peer in free[:MAX_FORWARDS]]
+
+    def _observe(
+        self,
+        request: SteeredRequest,
+        choice: Choice,
+        started: float,
+        *,
+        failed: bool,
+    ) -> None:
+        self._versions.observe(
+            request.route,
+            choice,
+            failed=failed,
+            latency_s=read_monotonic() - started,
+        )
+
+
+def _build_late(request: SteeredRequest, error: RateExceeded) -> RequestError:
+    text = f"the request ran, but its answer could not be sent ({error})"
+    if request.route.repeatable:
+        return UpstreamFailed(f"{text}; send it again")
+    return OutcomeUnknown(f"{text}; look it up")
--- /dev/null
+++ b/src/gypsummount/_entry/versions.py
@@ -0,0 +1,149 @@
+"""Which version a request goes to, and faults of new versions."""
+
+from dataclasses import dataclass
+
+from gypsummount._common.logs import get_logger
+from gypsummount._config.model import RolloutPlan
+from gypsummount._config.model import Route
+from gypsummount._core.rollouts import Baseline
+from gypsummount._core.rollouts import FaultJudge
+from gypsummount._core.rollouts import SplitCounter
+from gypsummount._core.rollouts import Veto
+from gypsummount._entry.snapshot import RolloutShare
+from gypsummount._entry.snapshot import Snapshot
+
+_log = get_logger("rollouts")
+
+
+@dataclass(slots=True, frozen=True)
+class Choice:
+    """The version for one request; ``rollout`` is set while moving."""
+
+    version: str
+    fallback: str | None = None
+    rollout: str | None = None
+    attempt: int = 0
+    counter: SplitCounter | None = None
+
+    @property
+    def is_new(self) -> bool:
+        """Tell whether the version is the one on trial."""
+        return self.fallback is not None
+
+
+@dataclass(slots=True, frozen=True)
+class _CounterName:
+    rollout: str
+    attempt: int
+    step: int
+    route: str
+
+
+@dataclass(slots=True, frozen=True)
+class _JudgeName:
+    rollout: str
+    attempt: int
+    route: str
+
+
+class Versions:
+    """Splits requests by rollout and vetoes a faulty version."""
+
+    def __init__(self, snapshot: Snapshot) -> None:
+        self._snapshot = snapshot
+        self._counters: dict[_CounterName, SplitCounter] = {}
+        self._judges: dict[_JudgeName, FaultJudge] = {}
+        self._baselines: dict[str, Baseline] = {}
+        self.own_vetoes: set[Veto] = set()
+
+    def choose(self, route: Route, now: float) -> Choice:
+        """Return the version for the next request of a route."""
+        plan = self._find_plan(route.service)
+        if plan is None:
+            return Choice(self._find_only_version(route.service))
+        share = self._snapshot.rollouts.get(plan.name)
+        if share is None or share.phase in ("idle", "taken-back"):
+            return Choice(plan.old)
+        if share.phase == "finished":
+            return Choice(plan.new)
+        if self._is_vetoed(share) or now >= share.ends_at:
+            return Choice(plan.old)
+        counter = self._find_counter(plan, share, route)
+        if counter.choose_new():
+            return Choice(
+                plan.new, plan.old, plan.name, share.attempt, counter
+            )
+        return Choice(plan.old, None, plan.name, share.attempt)
+
+    def observe(
+        self, route: Route, choice: Choice, *, failed: bool, latency_s: float
+    ) -> None:
+        """Record an answer and veto the new version when it is bad."""
+        if choice.rollout is None:
+            return
+        baseline = self._baselines.setdefault(route.prefix, Baseline())
+        if not choice.is_new:
+            baseline.observe(failed=failed, latency_s=latency_s)
+            return
+        name = _JudgeName(choice.rollout, choice.attempt, route.prefix)
+        judge = self._judges.setdefault(name, FaultJudge(baseline))
+        reason = judge.observe(failed=failed, latency_s=latency_s)
+        if reason is None:
+            return
+        text = f"{reason} on {route.prefix}"
+        veto = Veto(choice.rollout, choice.attempt, text)
+        if not self._has_veto(veto):
+            _log.warning("Vetoed %s: %s.", choice.rollout, text)
+            self.own_vetoes.add(veto)
+
+    def forget_past(self) -> None:
+        """Drop counters and judges of ended attempts and steps."""
+        for name in list(self._counters):
+            share = self._snapshot.rollouts.get(name.rollout)
+            if share and (share.attempt, share.step) != (
+                name.attempt,
+                name.step,
+            ):
+                del self._counters[name]
+        for name in list(self._judges):
+            share = self._snapshot.rollouts.get(name.rollout)
+            if share and share.attempt != name.attempt:
+                del self._judges[name]
+
+    def _find_counter(
+        self, plan: RolloutPlan, share: RolloutShare, route: Route
+    ) -> SplitCounter:
+        name = _CounterName(plan.name, share.attempt, share.step, route.prefix)
+        counter = self._counters.get(name)
+        if counter is None:
+            step = min(share.step, len(plan.steps) - 1)
+            counter = SplitCounter(plan.steps[step])
+            self._counters[name] = counter
+        return counter
+
+    def _is_vetoed(self, share: RolloutShare) -> bool:
+        return any(
+            veto.rollout == share.name and veto.attempt == share.attempt
+            for group in (self._snapshot.vetoes, self.own_vetoes)
+            for veto in group
+        )
+
+    def _has_veto(self, veto: Veto) -> bool:
+        return any(
+            known.rollout == veto.rollout and known.attempt == veto.attempt
+            for known in self.own_vetoes
+        )
+
+    def _find_plan(self, service: str) -> RolloutPlan | None:
+        for plan in self._snapshot.rules.rollouts.values():
+            if plan.service == service:
+                return plan
+        return None
+
+    def _find_only_version(self, service: str) -> str:
+        versions = sorted(
+            pool.version
+            for pool in self._snapshot.rules.pools.values()
+            if pool.service == service
+        )
+        return versions[0] if versions else ""
--- /dev/null
+++ b/src/gypsummount/_load/caller.py
@@ -0,0 +1,213 @@
+"""A caller as the interface asks for: look up, send, retry."""
+
+from dataclasses import dataclass
+from dataclasses import field
+from json import loads
+from random import Random
+from secrets import token_hex
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._core.sanitizing import Header
+from gypsummount._entry.connections import ConnectionPool
+from gypsummount._entry.connections import ExchangeError
+from gypsummount._entry.connections import UpstreamAnswer
+from gypsummount._entry.connections import UpstreamRequest
+
+LOOKUP_LIMIT_S = 2.0
+OUTCOME_HEADER = "gypsummount-outcome"
+NONCE_BYTES = 8
+
+
+@dataclass(slots=True, frozen=True)
+class Target:
+    """An entry of a look-up answer."""
+
+    address: str
+    token: str
+    weight: int
+
+
+@dataclass(slots=True)
+class Lookup:
+    """A cached look-up answer; ``until`` is in monotonic seconds."""
+
+    targets: list[Target]
+    until: float
+
+
+@dataclass(slots=True, frozen=True)
+class Call:
+    """One request of a caller."""
+
+    service: str
+    method: str
+    path: str
+    body: bytes = b""
+    repeatable: bool = True
+    limit_s: float = 3.0
+    retries: int = 2
+
+
+@dataclass(slots=True, frozen=True)
+class CallResult:
+    """What became of a request; ``code`` is empty for an answer."""
+
+    status: int
+    code: str
+    outcome: str
+    latency_s: float
+    body: bytes = b""
+    idempotency_key: str = ""
+
+    @property
+    def is_good(self) -> bool:
+        """Tell whether an upstream answered without an error."""
+        return not self.code and 200 <= self.status < 400
+
+
+@dataclass(slots=True)
+class Caller:
+    """Caches look-ups and keeps connections, as a phone would."""
+
+    key: str
+    entries: list[str]
+    random: Random
+    pools: dict[str, ConnectionPool] = field(default_factory=dict)
+    lookups: dict[str, Lookup] = field(default_factory=dict)
+
+    async def call(self, call: Call) -> CallResult:
+        """Send a request, retrying where that does no harm."""
+        started = read_monotonic()
+        deadline = started + call.limit_s
+        result = CallResult(0, "no_entry", "not-run", 0.0)
+        idempotency_key = ""
+        for _ in range(call.retries + 1):
+            target = await self._choose(call.service, result)
+            if target is None:
+                continue
+            if not call.repeatable and not idempotency_key:
+                nonce = token_hex(NONCE_BYTES)
+                idempotency_key = f"{nonce}@{target.token}"
+            result = await self._send(
+                call, target, deadline, started, idempotency_key
+            )
+            if result.is_good or not _is_worth_retry(result):
+                break
+            if read_monotonic() >= deadline:
+                break
+        return result
+
+    def close(self) -> None:
+        """Close all connections."""
+        for pool in self.pools.values():
+            pool.close()
+
+    async def _send(
+        self,
+        call: Call,
+        target: Target,
+        deadline: float,
+        started: float,
+        idempotency_key: str,
+    ) -> CallResult:
+        left_s = max(0.01, deadline - read_monotonic())
+        headers = [Header("Authorization", f"Bearer {self.key}")]
+        headers.append(
+            Header("Gypsummount-Deadline-Ms", str(int(left_s * 1000)))
+        )
+        if idempotency_key:
+            headers.append(Header("Idempotency-Key", idempotency_key))
+        request = UpstreamRequest(
+            call.method, call.path, tuple(headers), call.body, token_hex(4)
+        )
+        pool = self._find_pool(target.address)
+        try:
+            answer = await pool.send(
+                request, left_s + 0.5, repeatable=call.repeatable
+            )
+        except ExchangeError:
+            self.lookups.pop(call.service, None)
+            return CallResult(
+                0,
+                "entry_lost",
+                "unknown",
+                read_monotonic() - started,
+                b"",
+                idempotency_key,
+            )
+        return _read_result(
+            answer, read_monotonic() - started, idempotency_key
+        )
+
+    async def _choose(self, service: str, last: CallResult) -> Target | None:
+        lookup = self.lookups.get(service)
+        if lookup is None or lookup.until <= read_monotonic():
+            lookup = await self._look_up(service)
+        if lookup is None or not lookup.targets:
+            return None
+        if last.code in ("entry_lost", "no_capacity"):
+            return self.random.choice(lookup.targets)
+        weights = [target.weight for target in lookup.targets]
+        return self.random.choices(lookup.targets, weights)[0]
+
+    async def _look_up(self, service: str) -> Lookup | None:
+        request = UpstreamRequest(
+            "GET",
+            f"/v1/lookup?service={service}",
+            (Header("Authorization", f"Bearer {self.key}"),),
+            b"",
+            token_hex(4),
+        )
+        # The nearest entry comes first; the others stand in for it.
+        for address in self.entries:
+            pool = self._find_pool(address)
+            try:
+                answer = await pool.send(
+                    request, LOOKUP_LIMIT_S, repeatable=True
+                )
+            except ExchangeError:
+                continue
+            if answer.status != 200:
+                continue
+            raw = loads(answer.body)
+            targets = [
+                Target(row["address"], row["incarnation"], row["weight"])
+                for row in raw["entries"]
+            ]
+            lookup = Lookup(targets, read_monotonic() + raw["ttl_s"])
+            self.lookups[service] = lookup
+            return lookup
+        return None
+
+    def _find_pool(self, address: str) -> ConnectionPool:
+        pool = self.pools.get(address)
+        if pool is None:
+            pool = ConnectionPool(address)
+            self.pools[address] = pool
+        return pool
+
+
+def _read_result(
+    answer: UpstreamAnswer, latency_s: float, idempotency_key: str
+) -> CallResult:
+    outcome, code = "", ""
+    for line in answer.headers:
+        if line.name.lower() == OUTCOME_HEADER:
+            outcome = line.value
+    if outcome:
+        code = str(loads(answer.body)["code"]) if answer.body else "refused"
+    return CallResult(
+        answer.status, code, outcome, latency_s, answer.body, idempotency_key
+    )
+
+
+def _is_worth_retry(result: CallResult) -> bool:
+    return result.code in (
+        "entry_lost",
+        "no_capacity",
+        "not_ready",
+        "no_entry",
+        "outcome_unknown",
+        "peer_unreachable",
+        "upstream_failed",
+    )
--- /dev/null
+++ b/src/gypsummount/_load/report.py
@@ -0,0 +1,68 @@
+"""What callers saw, by workspace."""
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from hdrh.histogram import HdrHistogram
+
+from gypsummount._common.metrics import DIGITS
+from gypsummount._common.metrics import HIGHEST_US
+from gypsummount._common.metrics import LOWEST_US
+from gypsummount._common.metrics import US_PER_MS
+from gypsummount._common.metrics import US_PER_S
+from gypsummount._load.caller import CallResult
+
+
+def _create_histogram() -> HdrHistogram:
+    return HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+
+
+@dataclass(slots=True)
+class Tally:
+    """Results of one workspace."""
+
+    good: int = 0
+    rate_refused: int = 0
+    not_run: int = 0
+    unknown: int = 0
+    failed: int = 0
+    codes: dict[str, int] = field(default_factory=dict)
+    latencies: HdrHistogram = field(default_factory=_create_histogram)
+
+    def add(self, result: CallResult) -> None:
+        """Count one result."""
+        if result.code:
+            self.codes[result.code] = self.codes.get(result.code, 0) + 1
+        if result.is_good:
+            self.good += 1
+            value = int(result.latency_s * US_PER_S)
+            self.latencies.record_value(max(LOWEST_US, value))
+        elif result.code == "rate_exceeded":
+            self.rate_refused += 1
+        elif result.outcome == "not-run":
+            self.not_run += 1
+        elif result.outcome == "unknown":
+            self.unknown += 1
+        else:
+            self.failed += 1
+
+    def find_quantile(self, percent: float) -> float:
+        """Return a latency quantile in milliseconds."""
+        value = self.latencies.get_value_at_percentile(percent)
+        return round(value / US_PER_MS, 1)
+
+
+@dataclass(slots=True)
+class LoadReport:
+    """Results of all workspaces."""
+
+    tallies: dict[str, Tally] = field(default_factory=dict)
+
+    def add(self, workspace: str, result: CallResult) -> None:
+        """Count one result of a workspace."""
+        self.tallies.setdefault(workspace, Tally()).add(result)
+
+    @property
+    def good(self) -> int:
+        """Return the number of good answers of all workspaces."""
+        return sum(tally.good for tally in self.tallies.values())
--- /dev/null
+++ b/src/gypsummount/_load/workload.py
@@ -0,0 +1,68 @@
+"""Open-loop load of several workspaces."""
+
+from asyncio import create_task
+from asyncio import sleep
+from asyncio import Task
+from asyncio import wait
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._load.caller import Call
+from gypsummount._load.caller import Caller
+from gypsummount._load.report import LoadReport
+
+MAX_IN_FLIGHT = 400
+
+
+@dataclass(slots=True, frozen=True)
+class Mix:
+    """A call and how often it is made, relative to the others."""
+
+    call: Call
+    weight: float
+
+
+@dataclass(slots=True, frozen=True)
+class Stream:
+    """Requests of one workspace at a rate per second."""
+
+    workspace: str
+    rate: float
+    mix: tuple[Mix, ...]
+
+
+class Workload:
+    """Sends each stream with exponential gaps until told to stop."""
+
+    def __init__(self, report: LoadReport, random: Random) -> None:
+        self._report = report
+        self._random = random
+        self._tasks: set[Task[None]] = set()
+        self.skipped = 0
+
+    async def run(
+        self, stream: Stream, callers: Sequence[Caller], seconds: float
+    ) -> None:
+        """Send a stream for a time and wait for its last answers."""
+        due = read_monotonic()
+        until = due + seconds
+        calls = [mix.call for mix in stream.mix]
+        weights = [mix.weight for mix in stream.mix]
+        while due < until:
+            due += self._random.expovariate(stream.rate)
+            await sleep(max(0.0, due - read_monotonic()))
+            if len(self._tasks) >= MAX_IN_FLIGHT:
+                self.skipped += 1
+                continue
+            caller = self._random.choice(callers)
+            call = self._random.choices(calls, weights)[0]
+            task = create_task(self._send(stream.workspace, caller, call))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        if self._tasks:
+            await wait(set(self._tasks))
+
+    async def _send(self, workspace: str, caller: Caller, call: Call) -> None:
+        self._report.add(workspace, await caller.call(call))
--- /dev/null
+++ b/src/gypsummount/_proto/__init__.py
@@ -0,0 +1,1 @@
+"""Generated messages and services of the peer protocol."""
--- /dev/null
+++ b/src/gypsummount/_standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and upstreams."""
--- /dev/null
+++ b/src/gypsummount/_standin/platform.py
@@ -0,0 +1,72 @@
+"""Stand-in for the platform's lagging list of instances."""
+
+from collections import deque
+from dataclasses import asdict
+from dataclasses import dataclass
+from json import loads
+from time import monotonic
+
+from tornado.httputil import HTTPServerRequest
+
+from gypsummount._standin.http import Reply
+
+
+@dataclass(slots=True, frozen=True)
+class ListedInstance:
+    """An instance or upstream as the platform lists it."""
+
+    name: str
+    domain: str
+    address: str
+    state: str = "live"
+    kind: str = "instance"
+
+
+@dataclass(slots=True, frozen=True)
+class _Snapshot:
+    at: float
+    listed: tuple[ListedInstance, ...]
+
+
+class PlatformStandin:
+    """Serves the list as it was ``lag_s`` seconds ago."""
+
+    def __init__(self, lag_s: float = 0.0) -> None:
+        self.lag_s = lag_s
+        self._listed: dict[str, ListedInstance] = {}
+        self._history: deque[_Snapshot] = deque([_Snapshot(-1e9, ())])
+
+    def put(self, instance: ListedInstance) -> None:
+        """Add or change an instance."""
+        self._listed[instance.name] = instance
+        self._note()
+
+    def remove(self, name: str) -> None:
+        """Take an instance off the list."""
+        self._listed.pop(name, None)
+        self._note()
+
+    def read(self) -> tuple[ListedInstance, ...]:
+        """Return the list as it was before the lag."""
+        until = monotonic() - self.lag_s
+        while len(self._history) > 1 and self._history[1].at <= until:
+            self._history.popleft()
+        return self._history[0].listed
+
+    async def answer(self, request: HTTPServerRequest) -> Reply:
+        """Answer ``/live``, and ``/set`` and ``/remove`` of tests."""
+        if request.path == "/live":
+            return Reply.from_json([asdict(entry) for entry in self.read()])
+        if request.path == "/set":
+            for row in loads(request.body):
+                self.put(ListedInstance(**row))
+            return Reply(200)
+        if request.path == "/remove":
+            for name in loads(request.body):
+                self.remove(name)
+            return Reply(200)
+        return Reply(404)
+
+    def _note(self) -> None:
+        listed = tuple(self._listed.values())
+        self._history.append(_Snapshot(monotonic(), listed))
--- /dev/null
+++ b/src/gypsummount/_standin/program.py
@@ -0,0 +1,111 @@
+"""The program ``gypsummount-standin``, for tests and the demo."""
+
+from asyncio import Event
+from contextlib import AsyncExitStack
+from typing import Annotated
+
+from typer import Option
+from typer import Typer
+
+from gypsummount._common.settings import bind_address
+from gypsummount._common.settings import check_address
+from gypsummount._common.settings import on_stop
+from gypsummount._common.settings import run_program
+from gypsummount._config.model import RuleSet
+from gypsummount._config.parser import load_rules
+from gypsummount._standin.http import Answer
+from gypsummount._standin.http import TinyServer
+from gypsummount._standin.platform import PlatformStandin
+from gypsummount._standin.store import StoreStandin
+from gypsummount._standin.upstreams import UpstreamControl
+from gypsummount._standin.upstreams import UpstreamStandin
+
+app = Typer(
+    help="Small stand-ins for the platform and the upstreams.",
+    no_args_is_help=True,
+)
+
+Listen = Annotated[
+    str,
+    Option(envvar="GYPSUMMOUNT_STANDIN_LISTEN", help="Address (IP:port)."),
+]
+
+
+@app.command()
+def store(listen: Listen = "127.0.0.1:8070") -> None:
+    """Serve the object store; faults by POST /switches."""
+    standin = StoreStandin()
+    _serve({listen: standin.answer})
+
+
+@app.command()
+def platform(
+    listen: Listen = "127.0.0.1:8071",
+    lag_s: Annotated[
+        float,
+        Option(
+            envvar="GYPSUMMOUNT_STANDIN_LAG_S",
+            help="Seconds by which the list lags.",
+        ),
+    ] = 0.0,
+) -> None:
+    """Serve the live list; changes by POST /set and /remove."""
+    standin = PlatformStandin(lag_s)
+    _serve({listen: standin.answer})
+
+
+@app.command()
+def upstreams(
+    rules: Annotated[
+        str,
+        Option(
+            envvar="GYPSUMMOUNT_STANDIN_RULES",
+            help="Rule file; every server of its pools is served.",
+        ),
+    ],
+    listen: Listen = "127.0.0.1:8072",
+    seed: Annotated[
+        int,
+        Option(
+            envvar="GYPSUMMOUNT_STANDIN_SEED",
+            help="Seed of latencies and faults.",
+        ),
+    ] = 1,
+) -> None:
+    """Serve all upstreams of a rule file; control by POST /switches."""
+    with open(rules, encoding="utf-8") as file:
+        standins = build_upstreams(load_rules(file.read()), seed)
+    answers: dict[str, Answer] = {
+        standin.server: standin.answer for standin in standins
+    }
+    answers[listen] = UpstreamControl(standins).answer
+    _serve(answers)
+
+
+def build_upstreams(rules: RuleSet, seed: int) -> list[UpstreamStandin]:
+    """Return a stand-in for every server of the pools."""
+    return [
+        UpstreamStandin(server, pool.version, pool.slots, seed)
+        for pool in rules.pools.values()
+        for server in pool.servers
+    ]
+
+
+def _serve(answers: dict[str, Answer]) -> None:
+    async def main() -> None:
+        stopping = Event()
+        on_stop(stopping.set)
+        async with AsyncExitStack() as stack:
+            for address, answer in answers.items():
+                check_address("--listen", address)
+                sockets = bind_address("--listen", address)
+                server = TinyServer(answer, sockets)
+                stack.push_async_callback(server.close)
+            await stopping.wait()
+
+    run_program(main)
+
+
+def run() -> None:
+    """Run the program."""
+    app()
--- /dev/null
+++ b/src/gypsummount/_standin/relay.py
@@ -0,0 +1,97 @@
+"""A small TCP relay that cuts, freezes or delays one direction."""
+
+from asyncio import CancelledError
+from asyncio import gather
+from asyncio import open_connection
+from asyncio import Server
+from asyncio import sleep
+from asyncio import start_server
+from asyncio import StreamReader
+from asyncio import StreamWriter
+from dataclasses import dataclass
+
+CHUNK_BYTES = 65_536
+
+
+@dataclass(slots=True)
+class RelaySwitches:
+    """Faults of a relay.
+
+    ``cut`` refuses and closes connections; ``freeze_to`` and
+    ``freeze_from`` hold back bytes to and from the target of the
+    connections that are open; ``delay_s`` is for each direction.
+    """
+
+    cut: bool = False
+    freeze_to: bool = False
+    freeze_from: bool = False
+    delay_s: float = 0.0
+
+
+class Relay:
+    """Relays connections from one address to another."""
+
+    def __init__(self, target_host: str, target_port: int) -> None:
+        self.switches = RelaySwitches()
+        self.connections = 0
+        self._target = (target_host, target_port)
+        self._server: Server | None = None
+        self._writers: set[StreamWriter] = set()
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen and return the port."""
+        self._server = await start_server(self._serve, host, port)
+        return self._server.sockets[0].getsockname()[1]
+
+    async def close(self) -> None:
+        """Stop listening and close all connections."""
+        if self._server is not None:
+            self._server.close()
+        self.cut_open()
+
+    def cut_open(self) -> None:
+        """Close every open connection."""
+        for writer in list(self._writers):
+            writer.close()
+
+    def set_cut(self, cut: bool) -> None:
+        """Cut or restore; a cut closes the open connections."""
+        self.switches.cut = cut
+        if cut:
+            self.cut_open()
+
+    async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        self.connections += 1
+        if self.switches.cut:
+            writer.close()
+            return
+        try:
+            there, back = await open_connection(*self._target)
+        except OSError:
+            writer.close()
+            return
+        self._writers.update((writer, back))
+        try:
+            await gather(
+                self._pump(reader, back, "freeze_to"),
+                self._pump(there, writer, "freeze_from"),
+            )
+        except (OSError, CancelledError):
+            pass
+        finally:
+            self._writers.difference_update((writer, back))
+            writer.close()
+            back.close()
+
+    async def _pump(
+        self, reader: StreamReader, writer: StreamWriter, freeze: str
+    ) -> None:
+        while chunk := await reader.read(CHUNK_BYTES):
+            while getattr(self.switches, freeze):
+                await sleep(0.02)
+            if self.switches.delay_s:
+                await sleep(self.switches.delay_s)
+            writer.write(chunk)
+            await writer.drain()
+        if not writer.is_closing():
+            writer.close()
--- /dev/null
+++ b/src/gypsummount/_standin/store.py
@@ -0,0 +1,118 @@
+"""Stand-in for the platform's object store, with fault switches."""
+
+from asyncio import sleep
+from dataclasses import asdict
+from dataclasses import dataclass
+from json import loads
+from urllib.parse import unquote
+
+from tornado.httputil import HTTPServerRequest
+
+from gypsummount._standin.http import Reply
+from gypsummount._store.memory import MemoryStore
+from gypsummount.errors import StoreConflict
+
+_PREFIX = "/objects/"
+
+
+@dataclass(slots=True)
+class StoreSwitches:
+    """Faults that the stand-in brings about.
+
+    ``lose_answers`` counts writes whose effect stays while the answer
+    is lost; ``hang`` keeps calls and watches silent.
+    """
+
+    outage: bool = False
+    hang: bool = False
+    delay_s: float = 0.0
+    lose_answers: int = 0
+
+
+@dataclass(slots=True)
+class StoreCounts:
+    """Calls since the start; a waiting watch counts as one read."""
+
+    reads: int = 0
+    writes: int = 0
+    watches: int = 0
+
+
+class StoreStandin:
+    """Answers the store's HTTP interface from memory."""
+
+    def __init__(self) -> None:
+        self.switches = StoreSwitches()
+        self.counts = StoreCounts()
+        self.objects = MemoryStore()
+
+    async def answer(self, request: HTTPServerRequest) -> Reply | None:
+        """Answer one request; None closes the connection silently."""
+        if request.path == "/switches":
+            return self._switch(request)
+        if request.path == "/counts":
+            return Reply.from_json(asdict(self.counts))
+        if not request.path.startswith(_PREFIX):
+            return Reply(404)
+        if self.switches.hang:
+            await sleep(3600)
+        if self.switches.outage:
+            return Reply(503)
+        if self.switches.delay_s:
+            await sleep(self.switches.delay_s)
+        name = unquote(request.path[len(_PREFIX) :])
+        if request.method == "GET":
+            return await self._read(name, request)
+        return await self._write(name, request)
+
+    def _switch(self, request: HTTPServerRequest) -> Reply:
+        for name, value in loads(request.body or b"{}").items():
+            setattr(self.switches, name, value)
+        return Reply.from_json(asdict(self.switches))
+
+    async def _read(self, name: str, request: HTTPServerRequest) -> Reply:
+        if not name:
+            self.counts.reads += 1
+            prefix = request.arguments.get("prefix", [b""])[0].decode()
+            return Reply.from_json(await self.objects.list_names(prefix))
+        wait = request.headers.get("Prefer", "")
+        known = request.headers.get("If-None-Match")
+        if wait.startswith("wait=") and known:
+            self.counts.watches += 1
+            version = None if known == "none" else known
+            found = await self.objects.watch(
+                name, version, float(wait[len("wait=") :])
+            )
+            if self.switches.outage:
+                return Reply(503)
+        else:
+            self.counts.reads += 1
+            found = await self.objects.get(name)
+        if found is None:
+            return Reply(404)
+        headers = {"ETag": found.version}
+        if found.version == known:
+            return Reply(304, headers=headers)
+        return Reply(200, found.value, headers)
+
+    async def _write(
+        self, name: str, request: HTTPServerRequest
+    ) -> Reply | None:
+        self.counts.writes += 1
+        try:
+            version = await self._apply(name, request)
+        except StoreConflict:
+            return Reply(412)
+        if self.switches.lose_answers > 0:
+            self.switches.lose_answers -= 1
+            return None
+        return Reply(200, b"", {"ETag": version})
+
+    async def _apply(self, name: str, request: HTTPServerRequest) -> str:
+        match = request.headers.get("If-Match")
+        if request.method == "DELETE":
+            await self.objects.delete(name, match or "")
+            return ""
+        if match is None:
+            return await self.objects.create(name, request.body)
+        return await self.objects.replace(name, request.body, match)
--- /dev/null
+++ b/src/gypsummount/_standin/upstreams.py
@@ -0,0 +1,210 @@
+"""Stand-in upstreams: slots, cold caches, load reports and faults."""
+
+from asyncio import CancelledError
+from asyncio import sleep
+from dataclasses import asdict
+from dataclasses import dataclass
+from json import loads
+from random import Random
+from time import monotonic
+
+from tornado.httputil import HTTPServerRequest
+
+from gypsummount._standin.http import Reply
+
+COLD_FACTOR = 3.0
+WARM_REQUESTS = 20
+SHED_STATUS = 503
+MAX_LOG = 200_000
+
+
+@dataclass(slots=True)
+class UpstreamSwitches:
+    """How one stand-in upstream behaves.
+
+    Shares are chances from 0 to 1; ``fault_prefix`` limits the faults
+    to paths that begin with it.
+    """
+
+    latency_s: float = 0.005
+    error_share: float = 0.0
+    truncate_share: float = 0.0
+    silent_share: float = 0.0
+    drop_share: float = 0.0
+    cross_share: float = 0.0
+    extra_bytes_share: float = 0.0
+    slow_factor: float = 1.0
+    fault_prefix: str = "/"
+    leaving: bool = False
+    healthy: bool = True
+    reported_load: float = -1.0
+
+
+@dataclass(slots=True, frozen=True)
+class Run:
+    """One request that the upstream began to run."""
+
+    server: str
+    version: str
+    workspace: str
+    method: str
+    path: str
+    request_id: str
+    idempotency_key: str
+    at: float
+
+
+class UpstreamStandin:
+    """One upstream server with a number of slots."""
+
+    def __init__(
+        self, server: str, version: str, slots: int, seed: int
+    ) -> None:
+        self.server = server
+        self.version = version
+        self.slots = slots
+        self.switches = UpstreamSwitches()
+        self.runs: list[Run] = []
+        self.headers_seen: list[str] = []
+        self.in_flight = 0
+        self.most_in_flight = 0
+        self.cancelled = 0
+        self._served = 0
+        self._random = Random(f"{seed}/{server}")
+
+    async def answer(self, request: HTTPServerRequest) -> Reply | None:
+        """Run one request, or fail as the switches say."""
+        if request.path == "/healthz":
+            return Reply(200 if self.switches.healthy else 503)
+        self._record(request)
+        if self.in_flight >= self.slots:
+            return Reply(SHED_STATUS, b"shed", self._build_headers(request))
+        self.in_flight += 1
+        self.most_in_flight = max(self.most_in_flight, self.in_flight)
+        try:
+            return await self._run(request)
+        except CancelledError:
+            self.cancelled += 1
+            raise
+        finally:
+            self.in_flight -= 1
+
+    async def _run(self, request: HTTPServerRequest) -> Reply | None:
+        switches = self.switches
+        await sleep(self._find_latency(request.path))
+        headers = self._build_headers(request)
+        body = b" ".join(
+            (
+                self.server.encode(),
+                self.version.encode(),
+                request.method.encode(),
+                request.uri.encode(),
+                str(len(request.body)).encode(),
+            )
+        )
+        if not request.path.startswith(switches.fault_prefix):
+            return Reply(200, body, headers)
+        if self._hits(switches.silent_share):
+            await sleep(3600)
+        if self._hits(switches.drop_share):
+            return None
+        if self._hits(switches.error_share):
+            return Reply(500, b"failed", headers)
+        if self._hits(switches.truncate_share):
+            return Reply(200, body, headers, sent_bytes=len(body) // 2)
+        if self._hits(switches.cross_share):
+            headers["X-Request-Id"] = "of-another-request"
+            return Reply(200, b"the answer to another request", headers)
+        return Reply(200, body, headers)
+
+    def _record(self, request: HTTPServerRequest) -> None:
+        headers = request.headers
+        self.headers_seen.append(f"{request.uri} {dict(headers)}")
+        if len(self.runs) >= MAX_LOG:
+            return
+        self.runs.append(
+            Run(
+                self.server,
+                self.version,
+                headers.get("X-Workspace", ""),
+                request.method,
+                request.path,
+                headers.get("X-Request-Id", ""),
+                headers.get("Idempotency-Key", ""),
+                monotonic(),
+            )
+        )
+
+    def _find_latency(self, path: str) -> float:
+        switches = self.switches
+        self._served += 1
+        latency_s = switches.latency_s * self._random.uniform(0.8, 1.2)
+        if self._served <= WARM_REQUESTS:
+            rest = 1 - self._served / WARM_REQUESTS
+            latency_s *= 1 + (COLD_FACTOR - 1) * rest
+        if path.startswith(switches.fault_prefix):
+            latency_s *= switches.slow_factor
+        return latency_s
+
+    def _build_headers(self, request: HTTPServerRequest) -> dict[str, str]:
+        load = self.switches.reported_load
+        headers = {
+            "Content-Type": "text/plain",
+            "X-Request-Id": request.headers.get("X-Request-Id", ""),
+            "X-Upstream-Load": f"{load if load >= 0 else self.in_flight:g}",
+        }
+        if self.switches.leaving:
+            headers["X-Upstream-State"] = "leaving"
+        return headers
+
+    def _hits(self, share: float) -> bool:
+        return share > 0 and self._random.random() < share
+
+
+class UpstreamControl:
+    """Control interface of all upstreams of one stand-in process."""
+
+    def __init__(self, upstreams: list[UpstreamStandin]) -> None:
+        self._upstreams = {entry.server: entry for entry in upstreams}
+
+    async def answer(self, request: HTTPServerRequest) -> Reply:
+        """Set switches, or return the runs, statistics or headers."""
+        match request.path:
+            case "/switches":
+                return self._switch(loads(request.body))
+            case "/runs":
+                return Reply.from_json(
+                    [
+                        asdict(run)
+                        for entry in self._upstreams.values()
+                        for run in entry.runs
+                    ]
+                )
+            case "/headers":
+                return Reply.from_json(
+                    [
+                        line
+                        for entry in self._upstreams.values()
+                        for line in entry.headers_seen
+                    ]
+                )
+            case "/statistics":
+                return Reply.from_json(
+                    {
+                        name: {
+                            "slots": entry.slots,
+                            "most_in_flight": entry.most_in_flight,
+                            "cancelled": entry.cancelled,
+                            "runs": len(entry.runs),
+                        }
+                        for name, entry in self._upstreams.items()
+                    }
+                )
+        return Reply(404)
+
+    def _switch(self, change: dict[str, object]) -> Reply:
+        servers = change.pop("servers", None) or list(self._upstreams)
+        for server in servers:
+            for name, value in change.items():
+                setattr(self._upstreams[server].switches, name, value)
+        return Reply.from_json({"servers": servers})
--- /dev/null
+++ b/src/gypsummount/_store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's object store behind an abstract base class."""
--- /dev/null
+++ b/src/gypsummount/_store/http.py
@@ -0,0 +1,163 @@
+"""The store over HTTP: ETags, conditional writes, long-poll watches."""
+
+from asyncio import Future
+from asyncio import shield
+from json import JSONDecodeError
+from json import loads
+from typing import final
+from urllib.parse import quote
+
+from tornado.httpclient import AsyncHTTPClient
+from tornado.httpclient import HTTPClientError
+from tornado.httpclient import HTTPRequest
+from tornado.httpclient import HTTPResponse
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from gypsummount._store.base import MAX_VALUE_BYTES
+from gypsummount._store.base import Store
+from gypsummount._store.base import StoredObject
+from gypsummount.errors import StoreConflict
+from gypsummount.errors import StoreError
+from gypsummount.errors import StoreUnavailable
+
+CALL_LIMIT_S = 2.0
+WATCH_WAIT_S = 5.0
+WATCH_LIMIT_S = WATCH_WAIT_S + CALL_LIMIT_S
+MAX_CLIENTS = 64
+
+
+@final
+class HttpStore(Store):
+    """Talks to the store under ``http://ADDRESS/objects/``."""
+
+    def __init__(
+        self, address: str, *, call_limit_s: float = CALL_LIMIT_S
+    ) -> None:
+        self._base = f"http://{address}/objects/"
+        self._call_limit_s = call_limit_s
+        self._client: AsyncHTTPClient = SimpleAsyncHTTPClient(
+            force_instance=True, max_clients=MAX_CLIENTS
+        )
+
+    async def get(self, name: str) -> StoredObject | None:
+        """Return an object, or None if there is none."""
+        response = await self._call("GET", name, {})
+        return _read_object(name, response)
+
+    async def create(self, name: str, value: bytes) -> str:
+        """Create an object if it is absent and return its version."""
+        return await self._write(name, value, {"If-None-Match": "*"})
+
+    async def replace(self, name: str, value: bytes, version: str) -> str:
+        """Write if the version still matches; return the new version."""
+        return await self._write(name, value, {"If-Match": version})
+
+    async def delete(self, name: str, version: str) -> None:
+        """Delete an object if the version still matches."""
+        headers = {"If-Match": version}
+        response = await self._call("DELETE", name, headers)
+        _check_conflict(name, response)
+
+    async def watch(
+        self, name: str, version: str | None
+    ) -> StoredObject | None:
+        """Wait until an object differs from a version and return it."""
+        headers = {
+            "If-None-Match": version or "none",
+            "Prefer": f"wait={WATCH_WAIT_S:g}",
+        }
+        response = await self._call(
+            "GET", name, headers, limit_s=WATCH_LIMIT_S
+        )
+        if response.code == 304:
+            return StoredObject(name, version or "", b"")
+        return _read_object(name, response)
+
+    async def list_names(self, prefix: str) -> list[str]:
+        """Return the names of all objects with a prefix, sorted."""
+        response = await self._call("GET", "", {}, f"?prefix={quote(prefix)}")
+        try:
+            return [str(name) for name in loads(response.body)]
+        except JSONDecodeError:
+            raise StoreUnavailable(
+                "the store's list is no JSON; check --store"
+            ) from None
+
+    async def close(self) -> None:
+        """Release the connections."""
+        self._client.close()
+
+    async def _write(
+        self, name: str, value: bytes, headers: dict[str, str]
+    ) -> str:
+        if len(value) > MAX_VALUE_BYTES:
+            raise StoreError(
+                f"{name} has {len(value)} bytes; keep objects under "
+                f"{MAX_VALUE_BYTES} bytes"
+            )
+        response = await self._call("PUT", name, headers, body=value)
+        _check_conflict(name, response)
+        return response.headers["ETag"]
+
+    def _fetch(self, request: HTTPRequest) -> Future[HTTPResponse]:
+        # Tornado logs an error when a fetch whose future was cancelled
+        # ends, so a cancelled caller leaves the future as it is.
+        future = self._client.fetch(request, raise_error=False)
+        future.add_done_callback(_consume)
+        return future
+
+    async def _call(
+        self,
+        method: str,
+        name: str,
+        headers: dict[str, str],
+        query: str = "",
+        *,
+        body: bytes | None = None,
+        limit_s: float | None = None,
+    ) -> HTTPResponse:
+        limit_s = limit_s or self._call_limit_s
+        request = HTTPRequest(
+            self._base + quote(name) + query,
+            method=method,
+            headers=headers,
+            body=body,
+            connect_timeout=min(limit_s, self._call_limit_s),
+            request_timeout=limit_s,
+        )
+        try:
+            response = await shield(self._fetch(request))
+        except (HTTPClientError, OSError) as error:
+            raise _build_unavailable(name, str(error)) from None
+        if response.code >= 500:
+            raise _build_unavailable(name, f"status {response.code}")
+        return response
+
+
+def _consume(future: Future[HTTPResponse]) -> None:
+    if not future.cancelled():
+        future.exception()
+
+
+def _build_unavailable(name: str, why: str) -> StoreUnavailable:
+    return StoreUnavailable(
+        f"no answer from the store for '{name}' ({why}); check --store "
+        "and that the store is up"
+    )
+
+
+def _read_object(name: str, response: HTTPResponse) -> StoredObject | None:
+    if response.code == 404:
+        return None
+    if response.code != 200:
+        raise _build_unavailable(name, f"status {response.code}")
+    return StoredObject(name, response.headers["ETag"], response.body)
+
+
+def _check_conflict(name: str, response: HTTPResponse) -> None:
+    if response.code in (404, 412):
+        raise StoreConflict(
+            f"'{name}' was changed by another writer; read it again"
+        )
+    if response.code >= 400:
+        raise _build_unavailable(name, f"status {response.code}")
--- /dev/null
+++ b/src/gypsummount/_store/memory.py
@@ -0,0 +1,93 @@
+"""The store in memory, for the demo's stand-in and for tests."""
+
+from asyncio import Event
+from asyncio import wait_for
+from typing import final
+
+from gypsummount._store.base import Store
+from gypsummount._store.base import StoredObject
+from gypsummount.errors import StoreConflict
+
+WATCH_WAIT_S = 5.0
+
+
+@final
+class MemoryStore(Store):
+    """Keeps objects of one process; versions count its writes."""
+
+    def __init__(self) -> None:
+        self._objects: dict[str, StoredObject] = {}
+        self._changed = Event()
+        self._writes = 0
+
+    async def get(self, name: str) -> StoredObject | None:
+        """Return an object, or None if there is none."""
+        return self._objects.get(name)
+
+    async def create(self, name: str, value: bytes) -> str:
+        """Create an object if it is absent and return its version."""
+        if name in self._objects:
+            raise _build_conflict(name)
+        return self._put(name, value)
+
+    async def replace(self, name: str, value: bytes, version: str) -> str:
+        """Write if the version still matches; return the new version."""
+        self._check(name, version)
+        return self._put(name, value)
+
+    async def delete(self, name: str, version: str) -> None:
+        """Delete an object if the version still matches."""
+        self._check(name, version)
+        del self._objects[name]
+        self._wake()
+
+    async def watch(
+        self,
+        name: str,
+        version: str | None,
+        wait_s: float = WATCH_WAIT_S,
+    ) -> StoredObject | None:
+        """Wait until an object differs from a version and return it."""
+        try:
+            await wait_for(self._wait_change(name, version), wait_s)
+        except TimeoutError:
+            pass
+        return self._objects.get(name)
+
+    async def list_names(self, prefix: str) -> list[str]:
+        """Return the names of all objects with a prefix, sorted."""
+        return sorted(
+            name for name in self._objects if name.startswith(prefix)
+        )
+
+    async def close(self) -> None:
+        """Release nothing; there are no connections."""
+
+    async def _wait_change(self, name: str, version: str | None) -> None:
+        while True:
+            known = self._objects.get(name)
+            if (known.version if known else None) != version:
+                return
+            await self._changed.wait()
+
+    def _put(self, name: str, value: bytes) -> str:
+        self._writes += 1
+        version = f'"{self._writes}"'
+        self._objects[name] = StoredObject(name, version, value)
+        self._wake()
+        return version
+
+    def _check(self, name: str, version: str) -> None:
+        known = self._objects.get(name)
+        if known is None or known.version != version:
+            raise _build_conflict(name)
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = Event()
+
+
+def _build_conflict(name: str) -> StoreConflict:
+    return StoreConflict(
+        f"'{name}' was changed by another writer; read it again"
+    )
