Lend only what is owned; echo the caller's request id

A holder lent parts that it had borrowed; the onward loan outlived the first one, so both ran at once. Ruled out: the ledger (its granted sums were asserted) and retries (the count was of callers' calls, not of upstream runs). Before: the lending state machine fails after two loans (sum of usable rates above the total). The state machine passed at first although the fault was there: its demands were too small to make a holder lend more than it owned. Conclusion: the sum of usable shares stays within the budget.

--- a/src/gypsummount/_core/sanitizing.py
+++ b/src/gypsummount/_core/sanitizing.py
@@ -25,6 +25,7 @@
 )
 KEY_HEADERS = frozenset(("authorization", "x-api-key"))
 SET_BY_ENTRY = frozenset(("x-deadline-ms", "x-request-id", "x-workspace"))
+FOR_ENTRY = frozenset(("x-request-id", "x-upstream-load", "x-upstream-state"))
 OWN_PREFIX = "gypsummount-"
 MAX_UNQUOTE = 4
 
@@ -69,6 +70,7 @@
         for line in lines
         if line.name.lower() not in HOP_BY_HOP
         and line.name.lower() not in named
+        and line.name.lower() not in FOR_ENTRY
         and not line.name.lower().startswith(OWN_PREFIX)
     ]
 
--- a/src/gypsummount/_core/shares.py
+++ b/src/gypsummount/_core/shares.py
@@ -312,7 +312,10 @@
         if self._usable.rate <= EPSILON:
             return ZERO
         part = rate / self._usable.rate
-        return Amount(rate, self._usable.burst * part)
+        spare = Amount(rate, self._usable.burst * part)
+        # A borrowed part ends before a loan of it would, so only what
+        # is owned can be lent.
+        return spare.cap((self._owned - self.lent).clip())
 
     def _find_tokens(self, amount: Amount) -> float:
         part = self._find_part(amount)
--- a/src/gypsummount/_entry/front.py
+++ b/src/gypsummount/_entry/front.py
@@ -24,6 +24,7 @@
 from gypsummount._core.outcomes import StoredAnswer
 from gypsummount._entry.arrivals import ArrivalReader
 from gypsummount._entry.arrivals import IDEMPOTENCY_HEADER
+from gypsummount._entry.connections import REQUEST_ID_HEADER
 from gypsummount._entry.homes import Homes
 from gypsummount._entry.requests import SteeredRequest
 from gypsummount._entry.snapshot import Snapshot
@@ -219,6 +220,7 @@
         headers = HTTPHeaders()
         for name, value in answer.headers:
             headers.add(name, value)
+        _echo_request_id(request, headers)
         body = answer.body
         if request.method == "HEAD" or answer.status in NO_BODY:
             body = b""
@@ -254,6 +256,7 @@
                 OUTCOME_HEADER: outcome.value,
             }
         )
+        _echo_request_id(request, headers)
         if error.retry_after_s is not None:
             headers["Retry-After"] = str(error.retry_after_s)
         reason = responses.get(error.status, "Unknown")
@@ -263,3 +266,9 @@
             request.connection.finish()
         except StreamClosedError:
             self._metrics.count("steering.callers_lost")
+
+
+def _echo_request_id(request: HTTPServerRequest, headers: HTTPHeaders) -> None:
+    given = request.headers.get(REQUEST_ID_HEADER)
+    if given is not None:
+        headers[REQUEST_ID_HEADER] = given
--- /dev/null
+++ b/tests/core/budget_model.py
@@ -0,0 +1,217 @@
+"""A fleet of budget holders over a faulty network, in virtual time."""
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from gypsummount._core.amounts import Amount
+from gypsummount._core.amounts import EPSILON
+from gypsummount._core.ledger import BudgetKind
+from gypsummount._core.ledger import Holder
+from gypsummount._core.ledger import HolderState
+from gypsummount._core.ledger import Ledger
+from gypsummount._core.loans import BorrowRequest
+from gypsummount._core.loans import Loan
+from gypsummount._core.loans import LOAN_HOLD_S
+from gypsummount._core.loans import LoanReturn
+from gypsummount._core.shares import RateShare
+
+BUDGET = "workspace:w"
+TOLERANCE = 1e-6
+
+
+@dataclass(slots=True)
+class CentralBucket:
+    """The naive version: one bucket that sees every spend."""
+
+    rate: float
+    burst: float
+    level: float
+    at: float
+
+    def set_total(self, total: Amount, now: float) -> None:
+        self.refill(now)
+        self.level = min(self.level, total.burst)
+        self.rate, self.burst = total.rate, total.burst
+
+    def refill(self, now: float) -> None:
+        gained = (now - self.at) * self.rate
+        self.level = min(self.burst, self.level + gained)
+        self.at = now
+
+    def try_spend(self, now: float) -> bool:
+        self.refill(now)
+        if self.level < 1:
+            return False
+        self.level -= 1
+        return True
+
+
+@dataclass(slots=True)
+class LedgerView:
+    """What one holder is told of a ledger."""
+
+    seq: int
+    granted: Amount
+    target: Amount
+
+
+Payload = BorrowRequest | Loan | LoanReturn | LedgerView
+
+
+@dataclass(slots=True)
+class Packet:
+    """A message on its way between two holders."""
+
+    source: str
+    target: str
+    payload: Payload
+
+
+@dataclass(slots=True)
+class Process:
+    """One holder with the newest ledger that it has seen."""
+
+    name: str
+    place: str
+    share: RateShare
+    seq: int = -1
+    view: LedgerView | None = None
+    is_alive: bool = True
+
+
+@dataclass(slots=True)
+class BudgetModel:
+    """Holders, the ledger and the network between them."""
+
+    total: Amount
+    now: float = 0.0
+    ledger: Ledger = field(default_factory=lambda: Ledger("workspaces"))
+    processes: dict[str, Process] = field(default_factory=dict)
+    network: list[Packet] = field(default_factory=list)
+    ghosts: dict[str, float] = field(default_factory=dict)
+    serial: int = 0
+    born: int = 0
+
+    def set_total(self, total: Amount) -> None:
+        self.total = total
+        self.serial += 1
+        following = self.ledger.copy()
+        totals = {BUDGET: total}
+        following.set_totals(BudgetKind.RATE, totals, self.serial)
+        self._write(following)
+
+    def add(self, place: str) -> Process:
+        self.born += 1
+        name = f"{place}.{self.born}"
+        for process in self.processes.values():
+            if process.place == place:
+                process.is_alive = False
+        share = RateShare(BUDGET, name, self.now)
+        process = Process(name, place, share)
+        self.processes[name] = process
+        following = self.ledger.copy()
+        following.join(Holder(name, place, place))
+        self._write(following)
+        return process
+
+    def tell(self, name: str) -> None:
+        """Put the present ledger on its way to a holder."""
+        account = self.ledger.budgets[BUDGET].accounts.get(name)
+        if account is None:
+            return
+        view = LedgerView(self.ledger.seq, account.granted, account.target)
+        self.network.append(Packet("ledger", name, view))
+
+    def confirm(self, name: str, seq: int, amount: Amount) -> None:
+        following = self.ledger.copy()
+        if following.confirm(name, BUDGET, amount, seq):
+            self._write(following)
+
+    def confirm_if_ready(self, process: Process) -> None:
+        view = process.view
+        if view is None or not process.is_alive:
+            return
+        lowered = view.granted.cap(view.target)
+        if not view.granted.fits(lowered) and process.share.can_confirm():
+            self.confirm(process.name, view.seq, lowered)
+
+    def declare_gone(self, name: str) -> None:
+        following = self.ledger.copy()
+        following.mark_gone(name)
+        self._write(following)
+
+    def recover(self) -> None:
+        """Remove dead holders after the hold, seen by one agent."""
+        for holder in list(self.ledger.holders.values()):
+            if holder.state is HolderState.ACTIVE:
+                continue
+            since = self.ghosts.setdefault(holder.name, self.now)
+            if self.now - since >= LOAN_HOLD_S:
+                following = self.ledger.copy()
+                following.remove(holder.name)
+                self._write(following)
+
+    def borrow(self, borrower: Process, lender: Process) -> None:
+        request = borrower.share.build_request(
+            lender.name, self.total, self.now
+        )
+        if request is not None:
+            packet = Packet(borrower.name, lender.name, request)
+            self.network.append(packet)
+
+    def return_idle(self, process: Process) -> None:
+        for lender, message in process.share.return_idle(self.now):
+            self.network.append(Packet(process.name, lender, message))
+
+    def deliver(self, packet: Packet) -> None:
+        process = self.processes.get(packet.target)
+        if process is None or not process.is_alive:
+            return
+        payload = packet.payload
+        match payload:
+            case BorrowRequest():
+                loan = process.share.lend(payload, self.now)
+                if loan is not None:
+                    self.network.append(
+                        Packet(process.name, packet.source, loan)
+                    )
+            case Loan():
+                process.share.accept(payload, self.now)
+            case LoanReturn():
+                process.share.take_back(payload, self.now)
+            case LedgerView():
+                self._take_view(process, payload)
+
+    def list_alive(self) -> list[Process]:
+        return [one for one in self.processes.values() if one.is_alive]
+
+    def check_sums(self) -> None:
+        """Fail if the holders can use more than the budget together."""
+        for process in self.list_alive():
+            process.share.advance(self.now)
+        shares = [process.share for process in self.list_alive()]
+        granted = self.ledger.budgets[BUDGET].granted
+        limit_rate = max(self.total.rate, granted.rate)
+        limit_burst = max(self.total.burst, granted.burst)
+        rate = sum(share.usable.rate for share in shares)
+        burst = sum(share.usable.burst for share in shares)
+        level = sum(share.level for share in shares)
+        assert rate <= limit_rate + TOLERANCE
+        assert burst <= limit_burst + TOLERANCE
+        assert level <= limit_burst + TOLERANCE
+
+    def _take_view(self, process: Process, view: LedgerView) -> None:
+        if view.seq < process.seq:
+            return
+        process.seq = view.seq
+        process.view = view
+        owned = view.granted.cap(view.target)
+        process.share.confirm_owned(owned, self.now)
+
+    def _write(self, following: Ledger) -> None:
+        following.distribute()
+        self.ledger = following
+        total = following.budgets.get(BUDGET)
+        if total is not None:
+            limit = max(total.total.rate, total.granted.rate)
+            assert total.granted.rate <= limit + EPSILON
