Run the whole path as separate processes in one test

Cause: only the demo's single process had been run. Ruled out: nothing failed. Before: no such test.

--- /dev/null
+++ b/tests/processes/cluster.py
@@ -0,0 +1,343 @@
+"""A fleet of real processes on loopback, started for one test."""
+
+from asyncio import create_subprocess_exec
+from asyncio import sleep
+from asyncio import TimeoutError as WaitTimeout
+from asyncio import wait_for
+from asyncio.subprocess import Process
+from contextlib import suppress
+from dataclasses import dataclass
+from dataclasses import field
+from json import dumps
+from json import loads
+import os
+from pathlib import Path
+from random import Random
+from signal import SIGCONT
+from signal import SIGKILL
+import sys
+
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from gypsummount._cli.client import AdminClient
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._demo.fleet import Ports
+from gypsummount._demo.rules import DOMAINS
+from gypsummount._demo.rules import write_rules
+from gypsummount._load.caller import Caller
+
+PEPPER = "pepper-of-the-process-tests"
+TOKEN = "operator-token-of-the-tests"
+READY_LIMIT_S = 40.0
+END_LIMIT_S = 10.0
+BIN = Path(sys.executable).parent
+
+
+@dataclass(slots=True)
+class Running:
+    """A process with its captured output."""
+
+    name: str
+    process: Process
+    output: Path
+
+    @property
+    def is_alive(self) -> bool:
+        return self.process.returncode is None
+
+    def signal(self, number: int) -> None:
+        self.process.send_signal(number)
+
+    async def wait(self, limit_s: float) -> int:
+        return await wait_for(self.process.wait(), limit_s)
+
+
+@dataclass(slots=True)
+class Instance:
+    """Settings and processes of one instance."""
+
+    name: str
+    domain: str
+    region: str
+    listen: str
+    peer_listen: str
+    agent_listen: str
+    admin_listen: str
+    entry: Running | None = None
+    agent: Running | None = None
+
+
+@dataclass(slots=True)
+class Cluster:
+    """The stand-ins, the instances and ways to disturb them."""
+
+    folder: Path
+    seed: int = 1
+    count: int = 8
+    drain_s: float = 2.0
+    live_lag_s: float = 11.0
+    ports: Ports = field(default_factory=Ports)
+    random: Random = field(default_factory=lambda: Random(1))
+    instances: list[Instance] = field(default_factory=list)
+    started: list[Running] = field(default_factory=list)
+    callers: list[Caller] = field(default_factory=list)
+    store: str = ""
+    platform: str = ""
+    control: str = ""
+    rules: Path = Path()
+    http: SimpleAsyncHTTPClient = field(
+        default_factory=lambda: SimpleAsyncHTTPClient(force_instance=True)
+    )
+    admin: AdminClient | None = None
+
+    async def start(self, rules_text: str | None = None) -> None:
+        """Start everything and wait until requests can be served."""
+        print(f"seed {self.seed}")
+        self.random = Random(self.seed)
+        self.store, self.platform = self.ports.take(), self.ports.take()
+        self.control = self.ports.take()
+        self.rules = self.folder / "rules.txt"
+        text = rules_text or write_rules(self.ports.take)
+        self.rules.write_text(text, encoding="utf-8")
+        await self.start_standins()
+        for index in range(self.count):
+            self.instances.append(self._create_instance(index))
+        for instance in self.instances:
+            await self.start_agent(instance)
+            await self.start_entry(instance)
+        await self.list_instances(self.instances)
+        admins = tuple(one.admin_listen for one in self.instances)
+        self.admin = AdminClient(admins, TOKEN)
+        await self.apply_first(text)
+        await self.wait_ready()
+
+    async def start_standins(self) -> None:
+        await self.run("store", "standin", "store", "--listen", self.store)
+        await self.run(
+            "platform", "standin", "platform", "--listen", self.platform
+        )
+        await self.run(
+            "upstreams",
+            "standin",
+            "upstreams",
+            "--rules",
+            str(self.rules),
+            "--listen",
+            self.control,
+            "--seed",
+            str(self.seed),
+        )
+
+    async def start_agent(self, instance: Instance) -> None:
+        seeds = ",".join(one.agent_listen for one in self.instances[:3])
+        instance.agent = await self.run(
+            f"agent-{instance.name}",
+            "agent",
+            *self._place(instance),
+            "--listen",
+            instance.agent_listen,
+            "--admin-listen",
+            instance.admin_listen,
+            "--store",
+            self.store,
+            "--live-list",
+            self.platform,
+            "--live-lag-s",
+            str(self.live_lag_s),
+            "--seeds",
+            seeds,
+        )
+
+    async def start_entry(self, instance: Instance) -> None:
+        instance.entry = await self.run(
+            f"entry-{instance.name}",
+            "entry",
+            *self._place(instance),
+            "--listen",
+            instance.listen,
+            "--peer-listen",
+            instance.peer_listen,
+            "--agent",
+            instance.agent_listen,
+            "--drain-s",
+            str(self.drain_s),
+        )
+
+    async def run(self, name: str, program: str, *args: str) -> Running:
+        output = self.folder / f"{name}-{len(self.started)}.log"
+        environment = dict(
+            os.environ,
+            GYPSUMMOUNT_PEPPER=PEPPER,
+            GYPSUMMOUNT_OPERATOR_TOKEN=TOKEN,
+        )
+        with output.open("wb") as file:
+            process = await create_subprocess_exec(
+                str(BIN / f"gypsummount-{program}"),
+                *args,
+                stdout=file,
+                stderr=file,
+                env=environment,
+            )
+        running = Running(name, process, output)
+        self.started.append(running)
+        return running
+
+    async def list_instances(self, instances: list[Instance]) -> None:
+        rows = [
+            {
+                "name": one.name,
+                "domain": one.domain,
+                "address": one.agent_listen,
+            }
+            for one in instances
+        ]
+        await self.post(self.platform, "/set", rows)
+
+    async def unlist(self, instance: Instance) -> None:
+        await self.post(self.platform, "/remove", [instance.name])
+
+    async def apply_first(self, text: str) -> None:
+        until = read_monotonic() + READY_LIMIT_S
+        while True:
+            try:
+                await self.admin.apply(text, 0, "cluster")
+                return
+            except Exception:
+                if read_monotonic() > until:
+                    raise
+                await sleep(0.1)
+
+    async def wait_ready(self) -> None:
+        """Wait until every entry serves and the ledgers are at rest."""
+        await self.wait_for(self._is_ready, READY_LIMIT_S)
+
+    async def wait_for(self, check, limit_s: float) -> None:
+        until = read_monotonic() + limit_s
+        while not await check():
+            assert read_monotonic() < until, f"{check.__name__} took too long"
+            await sleep(0.1)
+
+    async def grant(self, workspace: str) -> str:
+        """Grant a key and wait until every entry knows it."""
+        granted = await self.admin.grant_key(workspace, "tests", 0)
+
+        async def is_known() -> bool:
+            status = await self.admin.read_status()
+            wanted = status["keys_serial"]
+            return all(
+                member["keys_serial"] >= wanted
+                for member in status["members"]
+                if member["alive"]
+            )
+
+        await self.wait_for(is_known, 5.0)
+        return str(granted["key"])
+
+    def create_caller(self, key: str) -> Caller:
+        entries = [one.listen for one in self.instances]
+        self.random.shuffle(entries)
+        caller = Caller(key, entries, self.random)
+        self.callers.append(caller)
+        return caller
+
+    async def switch_store(self, **switches: object) -> None:
+        await self.post(self.store, "/switches", switches)
+
+    async def switch_upstreams(self, **switches: object) -> None:
+        await self.post(self.control, "/switches", switches)
+
+    async def read_runs(self) -> list[dict[str, object]]:
+        return await self.fetch(self.control, "/runs")
+
+    async def fetch(self, address: str, path: str):
+        response = await self.http.fetch(
+            f"http://{address}{path}", request_timeout=10
+        )
+        return loads(response.body)
+
+    async def post(self, address: str, path: str, body: object) -> None:
+        until = read_monotonic() + READY_LIMIT_S
+        while True:
+            try:
+                await self.http.fetch(
+                    f"http://{address}{path}",
+                    method="POST",
+                    body=dumps(body),
+                )
+                return
+            except ConnectionRefusedError:
+                if read_monotonic() > until:
+                    raise
+                await sleep(0.1)
+
+    def read_output(self) -> str:
+        return "".join(
+            one.output.read_text(encoding="utf-8", errors="replace")
+            for one in self.started
+        )
+
+    async def close(self) -> None:
+        for caller in self.callers:
+            caller.close()
+        self.http.close()
+        if self.admin is not None:
+            self.admin.close()
+        for running in self.started:
+            if running.is_alive:
+                with suppress(ProcessLookupError):
+                    running.signal(SIGCONT)
+                    running.signal(SIGKILL)
+        for running in self.started:
+            with suppress(WaitTimeout):
+                await running.wait(END_LIMIT_S)
+
+    async def _is_ready(self) -> bool:
+        status = await self.admin.read_status()
+        members = [one for one in status["members"] if one["alive"]]
+        if len(members) < self.count:
+            return False
+        if not all(
+            one["entries"]
+            and one["config_serial"] >= 1
+            and one["entries"][0]["phase"] == "serving"
+            and sum(load["total"] for load in one["entries"][0]["loads"])
+            for one in members
+        ):
+            return False
+        return await self._are_ledgers_at_rest()
+
+    async def _are_ledgers_at_rest(self) -> bool:
+        names = await self.fetch(self.store, "/objects/?prefix=ledgers/")
+        for name in names:
+            ledger = await self.fetch(self.store, f"/objects/{name}")
+            for row in ledger["budgets"].values():
+                for cells in row[3].values():
+                    if cells[:2] != cells[2:4]:
+                        return False
+        scopes = {name.removeprefix("ledgers/") for name in names}
+        workspaces = await self.fetch(
+            self.store, "/objects/ledgers/workspaces"
+        )
+        holders = workspaces["holders"]
+        return "workspaces" in scopes and len(holders) >= self.count
+
+    def _create_instance(self, index: int) -> Instance:
+        domain = DOMAINS[index % len(DOMAINS)]
+        return Instance(
+            f"instance-{index + 1}",
+            domain,
+            domain.rsplit("-", 1)[0],
+            *(self.ports.take() for _ in range(4)),
+        )
+
+    def _place(self, instance: Instance) -> list[str]:
+        return [
+            "--instance",
+            instance.name,
+            "--domain",
+            instance.domain,
+            "--region",
+            instance.region,
+            "--log-level",
+            "info",
+        ]
