Lend tokens and rates by need; judge rollouts by the fleet's evidence

Cause: (1) refusals within rate: single arrivals asked for rate loans, so the budget was scattered in fractions; a former hot holder kept what it had borrowed; the reserve outweighed waiting requests. (2) A version with a small share was judged by each entry alone on too few answers. Conclusion: rates move only with demand above 4/s, tokens move singly and urgently; steps of a rollout wait for evidence.

--- a/src/gypsummount/_agent/driving.py
+++ b/src/gypsummount/_agent/driving.py
@@ -1,5 +1,6 @@
 """Drives rollouts: any agent may write the next state."""
 
+from dataclasses import dataclass
 from secrets import token_hex
 
 from gypsummount._agent.documents import read_rollouts
@@ -9,7 +10,10 @@
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.logs import get_logger
 from gypsummount._core.naming import ROLLOUTS_OBJECT
+from gypsummount._core.rollouts import find_veto_of
+from gypsummount._core.rollouts import FleetJudge
 from gypsummount._core.rollouts import RolloutState
+from gypsummount._core.rollouts import Veto
 from gypsummount._store.base import Store
 from gypsummount._store.updates import update_object
 from gypsummount.errors import StoreError
@@ -19,22 +23,31 @@
 _log = get_logger("rollouts")
 
 
+@dataclass(slots=True, frozen=True)
+class _Attempt:
+    rollout: str
+    attempt: int
+
+
 class RolloutDriver:
     """Proposes the next state of each rollout that is moving."""
 
     def __init__(self, state: AgentState, store: Store) -> None:
         self._state = state
         self._store = store
+        self._judges: dict[_Attempt, FleetJudge] = {}
 
     async def drive(self) -> None:
         """Write the next states that are due."""
         now = read_monotonic()
-        vetoes = self._state.list_vetoes()
-        for name, watch in self._state.rollouts.by_name.items():
+        for name, watch in list(self._state.rollouts.by_name.items()):
             plan = self._state.rules.rollouts.get(name)
             if plan is None:
                 continue
-            following = watch.propose(plan, vetoes, now)
+            judge = self._judge(watch.state)
+            following = watch.propose(
+                plan, self._state.list_vetoes(), judge.answers, now
+            )
             if following is None:
                 continue
             try:
@@ -43,6 +56,27 @@
                 if self._state.note_no_contact():
                     _log.warning("Lost the store: %s", error)
 
+    def _judge(self, state: RolloutState) -> FleetJudge:
+        """Judge the attempt by all evidence that gossip brought."""
+        name = _Attempt(state.name, state.attempt)
+        judge = self._judges.get(name)
+        if judge is None:
+            judge = FleetJudge(state.name, state.attempt)
+            self._judges[name] = judge
+        members = self._state.members
+        for member in (members.own, *members.list_known()):
+            for entry in member.entries:
+                for evidence in entry.evidence:
+                    veto = judge.observe(entry.incarnation, evidence)
+                    if veto is not None:
+                        self._add_veto(veto)
+        return judge
+
+    def _add_veto(self, veto: Veto) -> None:
+        if find_veto_of(self._state.list_vetoes(), veto) is None:
+            _log.warning("Vetoed %s: %s.", veto.rollout, veto.reason)
+            self._state.add_veto(veto)
+
     async def _write(
         self, seen: RolloutState, following: RolloutState
     ) -> None:
--- a/src/gypsummount/_agent/state.py
+++ b/src/gypsummount/_agent/state.py
@@ -3,6 +3,7 @@
 from asyncio import Event
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 
 from gypsummount._agent.documents import ConfigDocument
 from gypsummount._agent.documents import DrainsDocument
@@ -216,6 +217,13 @@
         """Return the vetoes of this agent's entries and of all peers."""
         return self.members.collect_vetoes()
 
+    def add_veto(self, veto: Veto) -> None:
+        """Tell everyone a veto that this agent found."""
+        own = self.members.own
+        vetoes = tuple(sorted({*own.vetoes, veto}))
+        self.members.update_own(replace(own, vetoes=vetoes))
+        self.notify()
+
     def list_draining(self) -> frozenset[str]:
         """Return the upstreams that get no new work."""
         return frozenset(self.drains.servers) | self.listed_leaving
@@ -232,20 +240,14 @@
         keys = [entry.report.keys_serial for entry in entries]
         own = self.members.own
         self.members.update_own(
-            Member(
-                own.instance,
-                own.incarnation,
-                own.started,
-                own.beat,
-                own.domain,
-                own.region,
-                own.address,
-                self.phase,
-                min([self.config.serial, *serials]),
-                min([self.keys.serial, *keys]),
-                now - self.contact_at,
-                tuple(entry.info for entry in entries),
-                tuple(sorted(vetoes)),
+            replace(
+                own,
+                phase=self.phase,
+                config_serial=min([self.config.serial, *serials]),
+                keys_serial=min([self.keys.serial, *keys]),
+                store_age_s=now - self.contact_at,
+                entries=tuple(entry.info for entry in entries),
+                vetoes=tuple(sorted(vetoes)),
             )
         )
 
--- a/src/gypsummount/_cli/program.py
+++ b/src/gypsummount/_cli/program.py
@@ -268,7 +268,7 @@
     ] = 1,
     load_s: Annotated[
         float, Option(envvar="GYPSUMMOUNT_LOAD_S", help="Seconds of load.")
-    ] = 20.0,
+    ] = 24.0,
 ) -> None:
     """Run the whole system in this process under a short load."""
     from gypsummount._demo.program import run_demo
--- a/src/gypsummount/_common/wire.py
+++ b/src/gypsummount/_common/wire.py
@@ -5,6 +5,7 @@
 from gypsummount._core.membership import EntryInfo
 from gypsummount._core.membership import Member
 from gypsummount._core.membership import ServiceLoad
+from gypsummount._core.rollouts import Evidence
 from gypsummount._core.rollouts import Veto
 from gypsummount._proto import peer_pb2
 
@@ -31,6 +32,36 @@
     return Veto(message.rollout, message.attempt, message.reason)
 
 
+def pack_evidence(evidence: Evidence) -> peer_pb2.Evidence:
+    """Return the message of evidence."""
+    return peer_pb2.Evidence(
+        rollout=evidence.rollout,
+        attempt=evidence.attempt,
+        route=evidence.route,
+        answers=evidence.answers,
+        failures=evidence.failures,
+        slow=evidence.slow,
+        timed=evidence.timed,
+        old_answers=evidence.old_answers,
+        old_failures=evidence.old_failures,
+    )
+
+
+def unpack_evidence(message: peer_pb2.Evidence) -> Evidence:
+    """Return the evidence of a message."""
+    return Evidence(
+        message.rollout,
+        message.attempt,
+        message.route,
+        message.answers,
+        message.failures,
+        message.slow,
+        message.timed,
+        message.old_answers,
+        message.old_failures,
+    )
+
+
 def pack_entry(entry: EntryInfo) -> peer_pb2.EntryInfo:
     """Return the message of an entry."""
     return peer_pb2.EntryInfo(
@@ -45,6 +76,7 @@
             )
             for load in entry.loads
         ],
+        evidence=[pack_evidence(evidence) for evidence in entry.evidence],
     )
 
 
@@ -60,6 +92,7 @@
             ServiceLoad(load.service, load.free, load.total)
             for load in message.loads
         ),
+        tuple(unpack_evidence(evidence) for evidence in message.evidence),
     )
 
 
--- a/src/gypsummount/_core/loans.py
+++ b/src/gypsummount/_core/loans.py
@@ -12,17 +12,22 @@
 from gypsummount._core.amounts import Amount
 
 LOAN_S = 4.0
+TOKEN_LOAN_S = 0.6
 CLOCK_DRIFT = 0.01
 LOAN_MARGIN_S = 0.2
 
 
 @dataclass(slots=True, frozen=True)
 class BorrowRequest:
-    """A holder asks a peer for part of its share."""
+    """A holder asks a peer for a rate and, as burst, for tokens.
+
+    It is urgent when requests wait for the tokens.
+    """
 
     loan_id: str
     budget: str
     wanted: Amount
+    is_urgent: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/gypsummount/_core/membership.py
+++ b/src/gypsummount/_core/membership.py
@@ -4,6 +4,7 @@
 from dataclasses import field
 from dataclasses import replace
 
+from gypsummount._core.rollouts import Evidence
 from gypsummount._core.rollouts import Veto
 
 SUSPECT_S = 2.5
@@ -30,6 +31,12 @@
     peer_address: str
     phase: str
     loads: tuple[ServiceLoad, ...] = ()
+    evidence: tuple[Evidence, ...] = ()
+
+    @property
+    def incarnation(self) -> str:
+        """Return the incarnation, which the token begins with."""
+        return self.token.rpartition(".")[0]
 
     def find_load(self, service: str) -> ServiceLoad | None:
         """Return the load of a service, if the entry steers it."""
--- a/src/gypsummount/_core/rollouts.py
+++ b/src/gypsummount/_core/rollouts.py
@@ -24,6 +24,11 @@
 BASELINE_QUANTILE = 0.95
 LEAST_BASELINE = 20
 RESORT_EVERY = 32
+MAX_NORMAL_RATE = 0.7
+MAX_BAD_RATE = 0.99
+ENOUGH_ANSWERS = 40
+LEAST_ANSWERS = 10
+DEADLINE_SHARE = 0.8
 
 
 @dataclass(slots=True, frozen=True)
@@ -87,12 +92,12 @@
         self.score = 0.0
         self._limit = -log(false_alarm_rate)
 
-    def observe(self, hit: bool, normal: float, bad: float) -> None:
-        """Add one observation; the rates are those of each hypothesis."""
-        if hit:
-            self.score += log(bad / normal)
-        else:
-            self.score += log((1 - bad) / (1 - normal))
+    def observe(
+        self, hits: int, misses: int, normal: float, bad: float
+    ) -> None:
+        """Add observations; the rates are those of each hypothesis."""
+        self.score += hits * log(bad / normal)
+        self.score += misses * log((1 - bad) / (1 - normal))
         self.score = max(0.0, self.score)
 
     @property
@@ -106,6 +111,7 @@
 
     __slots__ = (
         "_count",
+        "_failures",
         "_latencies",
         "_next",
         "_quantile",
@@ -116,6 +122,7 @@
         self._latencies: list[float] = []
         self._next = 0
         self._count = 0
+        self._failures = 0
         self._quantile = 0.0
         self.error_rate = 0.0
 
@@ -124,6 +131,16 @@
         """Tell whether there are enough answers to compare with."""
         return self._count >= LEAST_BASELINE
 
+    @property
+    def answers(self) -> int:
+        """Return the number of answers."""
+        return self._count
+
+    @property
+    def failures(self) -> int:
+        """Return the number of failed answers."""
+        return self._failures
+
     @property
     def slow_limit_s(self) -> float:
         """Return the latency from which an answer counts as slow."""
@@ -132,6 +149,7 @@
     def observe(self, *, failed: bool, latency_s: float) -> None:
         """Record one answer of the old version."""
         self._count += 1
+        self._failures += failed
         weight = max(0.01, 1 / self._count)
         self.error_rate += (float(failed) - self.error_rate) * weight
         if failed:
@@ -151,35 +169,137 @@
 
 
 class FaultJudge:
-    """Judges the new version of one route against the old one."""
+    """Judges the new version of one route against the old one.
+
+    Two sequential tests run side by side: one of failures against the
+    old version's rate of failures, one of answers slower than the old
+    version's slow limit.
+    """
 
-    __slots__ = ("_baseline", "_errors", "_slow")
+    __slots__ = ("_errors", "_slow")
 
-    def __init__(self, baseline: Baseline) -> None:
-        self._baseline = baseline
+    def __init__(self) -> None:
         self._errors = SequentialTest()
         self._slow = SequentialTest()
 
-    def observe(self, *, failed: bool, latency_s: float) -> str | None:
-        """Record an answer of the new version; a reason is a veto."""
-        normal = max(
-            FAULT_RATE_FLOOR, self._baseline.error_rate * FAULT_RATE_FACTOR
+    def observe(self, batch: "EvidenceBatch") -> str | None:
+        """Add answers of the new version; a reason is a veto."""
+        normal = min(
+            MAX_NORMAL_RATE,
+            max(FAULT_RATE_FLOOR, batch.old_error_rate * FAULT_RATE_FACTOR),
         )
-        normal = min(normal, 0.7)
-        bad = min(0.99, normal + FAULT_RATE_STEP)
-        self._errors.observe(failed, normal, bad)
+        bad = min(MAX_BAD_RATE, normal + FAULT_RATE_STEP)
+        good = batch.answers - batch.failures
+        self._errors.observe(batch.failures, good, normal, bad)
         if self._errors.is_decided:
             return "too many errors"
-        if not failed and self._baseline.is_ready:
-            slow = latency_s > self._baseline.slow_limit_s
-            self._slow.observe(
-                slow, SLOW_RATE_FLOOR, SLOW_RATE_FLOOR + FAULT_RATE_STEP
-            )
+        self._slow.observe(
+            batch.slow,
+            batch.timed - batch.slow,
+            SLOW_RATE_FLOOR,
+            SLOW_RATE_FLOOR + FAULT_RATE_STEP,
+        )
         if self._slow.is_decided:
             return "too slow"
         return None
 
 
+@dataclass(slots=True, frozen=True)
+class EvidenceBatch:
+    """Answers of a new version that came in together.
+
+    ``timed`` of the answers could be compared for slowness, and
+    ``slow`` of those were slow.
+    """
+
+    answers: int
+    failures: int
+    timed: int
+    slow: int
+    old_error_rate: float
+
+
+@dataclass(slots=True, frozen=True)
+class Evidence:
+    """What one entry has counted of a route in an attempt so far."""
+
+    rollout: str
+    attempt: int
+    route: str
+    answers: int = 0
+    failures: int = 0
+    slow: int = 0
+    timed: int = 0
+    old_answers: int = 0
+    old_failures: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class _Source:
+    entry: str
+    route: str
+
+
+class FleetJudge:
+    """Judges one attempt by the evidence of all entries together.
+
+    While a version gets a small share, no single entry sees enough of
+    it; their sum does.
+    """
+
+    __slots__ = ("_attempt", "_judges", "_known", "_rollout")
+
+    def __init__(self, rollout: str, attempt: int) -> None:
+        self._rollout = rollout
+        self._attempt = attempt
+        self._known: dict[_Source, Evidence] = {}
+        self._judges: dict[str, FaultJudge] = {}
+
+    @property
+    def answers(self) -> int:
+        """Return the answers of the new version, all entries."""
+        return sum(evidence.answers for evidence in self._known.values())
+
+    def observe(self, entry: str, evidence: Evidence) -> Veto | None:
+        """Add what an entry has counted since it was heard last."""
+        if evidence.rollout != self._rollout:
+            return None
+        if evidence.attempt != self._attempt:
+            return None
+        source = _Source(entry, evidence.route)
+        before = self._known.get(source) or replace(
+            evidence, answers=0, failures=0, slow=0, timed=0
+        )
+        if evidence.answers <= before.answers:
+            self._known.setdefault(source, evidence)
+            return None
+        self._known[source] = evidence
+        judge = self._judges.setdefault(evidence.route, FaultJudge())
+        reason = judge.observe(
+            EvidenceBatch(
+                evidence.answers - before.answers,
+                evidence.failures - before.failures,
+                evidence.timed - before.timed,
+                evidence.slow - before.slow,
+                self._find_old_rate(evidence.route),
+            )
+        )
+        if reason is None:
+            return None
+        text = f"{reason} on {evidence.route} in the fleet"
+        return Veto(self._rollout, self._attempt, text)
+
+    def _find_old_rate(self, route: str) -> float:
+        same = [
+            evidence
+            for source, evidence in self._known.items()
+            if source.route == route
+        ]
+        answers = sum(evidence.old_answers for evidence in same)
+        failures = sum(evidence.old_failures for evidence in same)
+        return failures / answers if answers else 0.0
+
+
 def find_share(plan: RolloutPlan, state: RolloutState) -> float:
     """Return the share of requests that the new version may take."""
     if state.phase == "finished":
@@ -218,11 +338,12 @@
 class RolloutWatch:
     """What one agent has seen of one rollout; proposes the next state."""
 
-    __slots__ = ("_seen_at", "state")
+    __slots__ = ("_answers_before", "_seen_at", "state")
 
     def __init__(self, state: RolloutState, now: float) -> None:
         self.state = state
         self._seen_at = now
+        self._answers_before: int | None = None
 
     def take(self, state: RolloutState, now: float) -> bool:
         """Take a state of a higher serial; tell whether it was newer."""
@@ -230,6 +351,7 @@
             return False
         self.state = state
         self._seen_at = now
+        self._answers_before = None
         return True
 
     def find_elapsed(self, now: float) -> float:
@@ -241,10 +363,15 @@
         return plan.deadline_s - self.find_elapsed(now)
 
     def propose(
-        self, plan: RolloutPlan, vetoes: set[Veto], now: float
+        self, plan: RolloutPlan, vetoes: set[Veto], answers: int, now: float
     ) -> RolloutState | None:
-        """Return the next state to write, or None while there is none."""
+        """Return the next state to write, or None while there is none.
+
+        ``answers`` counts those of the new version in this attempt.
+        """
         state = self.state
+        if self._answers_before is None:
+            self._answers_before = answers
         if state.phase != "moving":
             return None
         machine = Machine("rollout", state.phase)
@@ -256,19 +383,42 @@
             return replace(changed, phase=phase, reason=veto.reason)
         if elapsed_s >= plan.deadline_s:
             phase = machine.fire("expired")
-            reason = "the deadline passed before the last step was done"
+            reason = "the deadline passed before the last step"
             return replace(changed, phase=phase, reason=reason)
-        if now - self._seen_at < plan.bake_s:
+        if not self._is_baked(plan, answers, now):
             return None
         if state.step + 1 < len(plan.steps):
             machine.fire("stepped")
             return replace(changed, step=state.step + 1)
         return replace(changed, phase=machine.fire("completed"))
 
+    def _is_baked(self, plan: RolloutPlan, answers: int, now: float) -> bool:
+        """Tell whether a step lasted and was seen for long enough.
+
+        A step waits for enough answers.  A quiet route makes do with
+        fewer once its part of the time to the deadline has passed, but
+        never with so few that a fault could not show.
+        """
+        passed_s = now - self._seen_at
+        seen = answers - self._answers_before
+        if passed_s < plan.bake_s or seen < LEAST_ANSWERS:
+            return False
+        if seen >= ENOUGH_ANSWERS:
+            return True
+        left_s = (plan.deadline_s - self.state.elapsed_s) * DEADLINE_SHARE
+        steps_left = len(plan.steps) - self.state.step
+        return passed_s >= left_s / max(1, steps_left)
+
 
 def find_veto(state: RolloutState, vetoes: set[Veto]) -> Veto | None:
     """Return a veto against the present attempt, if there is one."""
+    wanted = Veto(state.name, state.attempt, "")
+    return find_veto_of(vetoes, wanted)
+
+
+def find_veto_of(vetoes: set[Veto], wanted: Veto) -> Veto | None:
+    """Return a veto against the same attempt, whatever its reason."""
     for veto in sorted(vetoes):
-        if veto.rollout == state.name and veto.attempt == state.attempt:
+        if veto.rollout == wanted.rollout and veto.attempt == wanted.attempt:
             return veto
     return None
--- a/src/gypsummount/_core/shares.py
+++ b/src/gypsummount/_core/shares.py
@@ -20,14 +20,19 @@
 from gypsummount._core.loans import Loan
 from gypsummount._core.loans import LOAN_S
 from gypsummount._core.loans import LoanReturn
-
-DEMAND_WINDOW_S = 1.0
-DEMAND_HEADROOM = 1.25
-LEAST_RATE_SHARE = 0.02
-LEAST_LOAN_SHARE = 0.01
-LOW_LEVEL_S = 0.25
+from gypsummount._core.loans import TOKEN_LOAN_S
+
+FAST_WINDOW_S = 0.25
+SLOW_WINDOW_S = 3.0
+FAST_LEAST_COUNT = 3.0
+DEMAND_HEADROOM = 1.1
+RESERVE_S = 0.25
+LEAST_RESERVE = 1.0
+LEAST_RATE_DEMAND = 4.0
+LEAST_LOAN = 0.05
+RATE_SLACK = 0.1
 REQUEST_LIMIT_S = 1.0
-RETURN_DEMAND_SHARE = 0.5
+RETURN_HEADROOM = 1.5
 PAUSE_LIMIT_S = 10.0
 
 
@@ -42,6 +47,7 @@
 class _Lent:
     loan: Loan
     ends_at: float
+    is_onward: bool = False
     state: LoanState = LoanState.OPEN
 
 
@@ -70,14 +76,15 @@
     __slots__ = (
         "_borrowed",
         "_counter",
-        "_demand",
         "_demand_at",
+        "_fast_demand",
         "_holder",
         "_lent",
         "_level",
         "_owned",
         "_pending",
         "_seen_at",
+        "_slow_demand",
         "_suspended",
         "_updated_at",
         "_usable",
@@ -97,7 +104,8 @@
         self._borrowed: dict[str, _Borrowed] = {}
         self._pending: dict[str, _Pending] = {}
         self._counter = 0
-        self._demand = 0.0
+        self._fast_demand = 0.0
+        self._slow_demand = 0.0
         self._demand_at = now
 
     @property
@@ -117,14 +125,8 @@
 
     @property
     def lent(self) -> Amount:
-        """Return the sum of the open loans to peers."""
-        return add_amounts(
-            [
-                lent.loan.amount
-                for lent in self._lent.values()
-                if lent.state is LoanState.OPEN
-            ]
-        )
+        """Return the sum of the open loans of what is owned."""
+        return self._add_lent(onward=False)
 
     @property
     def is_suspended(self) -> bool:
@@ -132,9 +134,15 @@
         return self._suspended
 
     def find_demand(self, now: float) -> float:
-        """Return the recent demand in units per second."""
+        """Return the recent demand in units per second.
+
+        The fast estimate counts only where enough units fall into its
+        window to tell a change from noise.
+        """
         self._decay_demand(now)
-        return self._demand
+        if self._slow_demand * FAST_WINDOW_S >= FAST_LEAST_COUNT:
+            return self._fast_demand
+        return self._slow_demand
 
     def confirm_owned(self, owned: Amount, now: float) -> None:
         """Set what the ledger grants, read after any pause."""
@@ -171,7 +179,8 @@
     def record_demand(self, now: float, count: float = 1.0) -> None:
         """Count units asked for; call once per arrival."""
         self._decay_demand(now)
-        self._demand += count / DEMAND_WINDOW_S
+        self._fast_demand += count / FAST_WINDOW_S
+        self._slow_demand += count / SLOW_WINDOW_S
 
     def find_wait(self, count: float = 1.0) -> float:
         """Return the seconds until the share holds enough by itself."""
@@ -182,33 +191,38 @@
             return inf
         return lack / self._usable.rate
 
-    def is_low(self, now: float) -> bool:
-        """Tell whether the tokens will run out soon at this demand."""
+    def find_need(self, now: float, waiting: float = 0.0) -> Amount:
+        """Return the rate and the tokens to borrow, zero when enough.
+
+        ``waiting`` counts the units that wait for tokens already.
+        """
         self.advance(now)
-        self._decay_demand(now)
         if self._suspended:
-            return False
-        if self._demand <= self._usable.rate and self._level >= 1:
-            return False
-        reserve = max(1.0, self._demand * LOW_LEVEL_S)
-        return self._level < reserve or (
-            self._demand > self._usable.rate * DEMAND_HEADROOM
-        )
+            return ZERO
+        demand = self.find_demand(now)
+        rate = demand * DEMAND_HEADROOM - self._usable.rate
+        if rate <= demand * RATE_SLACK or demand < LEAST_RATE_DEMAND:
+            rate = 0.0
+        reserve = demand * RESERVE_S
+        if reserve < LEAST_RESERVE or self._level >= reserve / 2:
+            reserve = 0.0
+        tokens = max(waiting, reserve) - self._level
+        return Amount(rate, tokens).clip()
 
     def build_request(
-        self, lender: str, total: Amount, now: float
+        self, lender: str, now: float, waiting: float = 0.0
     ) -> BorrowRequest | None:
-        """Return a request to a peer, or None while one is pending."""
-        self.advance(now)
+        """Return a request to a peer, or None while one is pending.
+
+        The burst of what is wanted stands for tokens.
+        """
         self._drop_stale_requests(now)
-        if self._pending or self._suspended:
-            return None
-        wanted = self._find_wanted(total)
-        if wanted.is_zero:
+        wanted = self.find_need(now, waiting)
+        if self._pending or wanted.is_zero:
             return None
         self._counter += 1
         loan_id = f"{self._holder}#{self._counter}"
-        request = BorrowRequest(loan_id, self.budget, wanted)
+        request = BorrowRequest(loan_id, self.budget, wanted, waiting > 0)
         self._pending[loan_id] = _Pending(request, lender, now)
         return request
 
@@ -216,22 +230,30 @@
         """Forget a request whose answer will not be taken any more."""
         self._pending.pop(loan_id, None)
 
-    def lend(self, request: BorrowRequest, now: float) -> Loan | None:
-        """Debit a loan and return it; the same request, the same loan."""
+    def lend(
+        self, request: BorrowRequest, now: float, waiting: float = 0.0
+    ) -> Loan | None:
+        """Debit a loan and return it; the same request, the same loan.
+
+        ``waiting`` counts the own units that wait for tokens.
+        """
         self.advance(now)
         known = self._lent.get(request.loan_id)
         if known is not None:
             return known.loan if known.state is LoanState.OPEN else None
         if self._suspended:
             return None
-        amount = request.wanted.cap(self._find_spare(now))
-        if amount.rate < request.wanted.rate * LEAST_LOAN_SHARE:
+        spare = self._find_spare_tokens(request, now, waiting)
+        loan = self._build_loan(request, spare, now)
+        onward = self._build_onward(request, spare, now)
+        is_onward = onward.tokens > loan.tokens and not loan.amount.rate
+        if is_onward:
+            loan = onward
+        if max(loan.amount.rate, loan.tokens) < LEAST_LOAN:
             return None
-        tokens = self._find_tokens(amount)
-        loan = Loan(request.loan_id, self.budget, amount, tokens, LOAN_S)
-        ends_at = now + find_lender_wait(LOAN_S)
-        self._lent[loan.loan_id] = _Lent(loan, ends_at)
-        self._level -= tokens
+        ends_at = now + find_lender_wait(loan.duration_s)
+        self._lent[loan.loan_id] = _Lent(loan, ends_at, is_onward)
+        self._level -= loan.tokens
         self._recompute()
         return loan
 
@@ -252,18 +274,36 @@
     def return_idle(self, now: float) -> list[tuple[str, LoanReturn]]:
         """Debit loans that the demand no longer needs, by lender."""
         self.advance(now)
-        self._decay_demand(now)
-        returned = []
+        kept = self.find_demand(now) * RETURN_HEADROOM
+        returned: list[tuple[str, LoanReturn]] = []
+        if not self._add_lent(onward=True).is_zero:
+            return returned
         for loan_id, borrowed in list(self._borrowed.items()):
             rest = self._usable.rate - borrowed.loan.amount.rate
-            if self._demand > rest * RETURN_DEMAND_SHARE:
+            if kept > rest:
                 continue
             returned.append(self._return(loan_id, borrowed))
         return returned
 
+    def return_spent(self, now: float) -> list[tuple[str, LoanReturn]]:
+        """Debit the loans of tokens alone once the tokens are spent.
+
+        The lender cannot gather new tokens under a burst that is lent.
+        """
+        self.advance(now)
+        if self._level >= 1 or not self._add_lent(onward=True).is_zero:
+            return []
+        return [
+            self._return(loan_id, borrowed)
+            for loan_id, borrowed in list(self._borrowed.items())
+            if borrowed.loan.amount.rate <= EPSILON
+        ]
+
     def return_all(self, now: float) -> list[tuple[str, LoanReturn]]:
         """Debit every borrowed part, for a planned stop."""
         self.advance(now)
+        if not self._add_lent(onward=True).is_zero:
+            return []
         return [
             self._return(loan_id, borrowed)
             for loan_id, borrowed in list(self._borrowed.items())
@@ -298,28 +338,65 @@
             return 0.0
         return min(1.0, amount.burst / self._usable.burst)
 
-    def _find_wanted(self, total: Amount) -> Amount:
-        missing = self._demand * DEMAND_HEADROOM - self._usable.rate
-        rate = max(missing, total.rate * LEAST_RATE_SHARE)
-        rate = min(rate, total.rate)
-        burst = total.burst * rate / max(total.rate, EPSILON)
-        return Amount(rate, max(burst, min(1.0, total.burst)))
-
-    def _find_spare(self, now: float) -> Amount:
-        self._decay_demand(now)
-        kept = self._demand * DEMAND_HEADROOM
-        rate = max(0.0, self._usable.rate - kept)
-        if self._usable.rate <= EPSILON:
-            return ZERO
-        part = rate / self._usable.rate
-        spare = Amount(rate, self._usable.burst * part)
-        # A borrowed part ends before a loan of it would, so only what
-        # is owned can be lent.
-        return spare.cap((self._owned - self.lent).clip())
+    def _find_spare_tokens(
+        self, request: BorrowRequest, now: float, waiting: float
+    ) -> float:
+        """Return the tokens to part with.
+
+        A request that waits elsewhere outweighs the reserve here.
+        """
+        reserve = waiting
+        if not request.is_urgent:
+            demand = self.find_demand(now)
+            reserve += max(LEAST_RESERVE, demand * RESERVE_S)
+        spare = max(0.0, self._level - reserve)
+        return min(spare, request.wanted.burst)
+
+    def _build_loan(
+        self, request: BorrowRequest, spare: float, now: float
+    ) -> Loan:
+        """Return a loan of what is owned: rate, and tokens with burst."""
+        kept = self.find_demand(now) * DEMAND_HEADROOM
+        owned = (self._owned - self.lent).clip()
+        free = max(0.0, self._usable.rate - kept)
+        rate = min(request.wanted.rate, owned.rate, free)
+        if rate < LEAST_LOAN:
+            rate = 0.0
+        tokens = min(spare, owned.burst)
+        burst = tokens
+        if rate:
+            burst = max(tokens, owned.burst * rate / owned.rate)
+        duration_s = LOAN_S if rate else TOKEN_LOAN_S
+        amount = Amount(rate, burst)
+        return Loan(request.loan_id, self.budget, amount, tokens, duration_s)
+
+    def _build_onward(
+        self, request: BorrowRequest, spare: float, now: float
+    ) -> Loan:
+        """Return a short loan of tokens under a burst that is borrowed.
+
+        Only the loans that outlast it count, so the burst is never with
+        two holders.
+        """
+        until = now + find_lender_wait(TOKEN_LOAN_S)
+        lasting = sum(
+            borrowed.loan.amount.burst
+            for borrowed in self._borrowed.values()
+            if borrowed.ends_at >= until
+        )
+        covered = max(0.0, lasting - self._add_lent(onward=True).burst)
+        tokens = min(spare, covered)
+        amount = Amount(0.0, tokens)
+        return Loan(request.loan_id, self.budget, amount, tokens, TOKEN_LOAN_S)
 
-    def _find_tokens(self, amount: Amount) -> float:
-        part = self._find_part(amount)
-        return min(self._level * part, amount.burst)
+    def _add_lent(self, *, onward: bool) -> Amount:
+        return add_amounts(
+            [
+                lent.loan.amount
+                for lent in self._lent.values()
+                if lent.state is LoanState.OPEN and lent.is_onward == onward
+            ]
+        )
 
     def _suspend(self) -> None:
         self._suspended = True
@@ -337,7 +414,8 @@
         passed = now - self._demand_at
         if passed <= 0:
             return
-        self._demand *= exp(-passed / DEMAND_WINDOW_S)
+        self._fast_demand *= exp(-passed / FAST_WINDOW_S)
+        self._slow_demand *= exp(-passed / SLOW_WINDOW_S)
         self._demand_at = now
 
     def _accrue(self, until: float) -> None:
@@ -376,5 +454,6 @@
         own = (self._owned - self.lent).clip()
         if self._suspended:
             own = ZERO
-        self._usable = own + borrowed
+        onward = self._add_lent(onward=True)
+        self._usable = own + (borrowed - onward).clip()
         self._level = min(self._level, self._usable.burst)
--- a/src/gypsummount/_demo/program.py
+++ b/src/gypsummount/_demo/program.py
@@ -34,8 +34,8 @@
 WITHDRAWAL_LIMIT_S = 5.0
 GOOD_ROLLOUT = "rondas-v2"
 BAD_ROLLOUT = "reservas-v2"
-BAD_VERSION_SHARE_LIMIT = 0.05
-ROLLOUT_LIMIT_S = 15.0
+BAD_VERSION_SHARE_LIMIT = 0.1
+ROLLOUT_LIMIT_S = 22.0
 
 MIX = (
     Mix(Call("rondas", "GET", "/rondas/hoy"), 0.7),
--- a/src/gypsummount/_demo/rules.py
+++ b/src/gypsummount/_demo/rules.py
@@ -25,14 +25,14 @@
     DemoService("fotos", 1, 3, ("v1",), False, 4000),
 )
 WORKSPACE_RATES = {
-    "valle-grande": 60,
-    "tarrazu": 40,
-    "naranjo": 12,
-    "poas": 12,
-    "turrialba": 12,
-    "acosta": 8,
-    "dota": 8,
-    "zarcero": 8,
+    "valle-grande": 30,
+    "tarrazu": 20,
+    "naranjo": 8,
+    "poas": 8,
+    "turrialba": 8,
+    "acosta": 6,
+    "dota": 6,
+    "zarcero": 6,
 }
 
 
@@ -50,7 +50,7 @@
         lines += _write_service(service, next_address, who)
     for name, rate in WORKSPACE_RATES.items():
         lines.append(f"workspace {name} rate={rate} burst={rate} {who}")
-    steps = "steps=0.05,0.3,0.6,1 bake_s=1.5 deadline_s=15"
+    steps = "steps=0.1,0.4,1 bake_s=1.5 deadline_s=20"
     for service in ("rondas", "reservas"):
         lines.append(
             f"rollout {service}-v2 service={service} old=v1 new=v2 "
--- a/src/gypsummount/_entry/budgets.py
+++ b/src/gypsummount/_entry/budgets.py
@@ -131,7 +131,7 @@
         share.record_demand(now, count)
         waiting = self._waiting.get(budget, 0)
         if waiting == 0 and share.try_spend(now, count):
-            if share.is_low(now):
+            if self.needs_loan(budget):
                 self._pull(budget)
             return
         if waiting >= MAX_WAITING:
@@ -153,12 +153,25 @@
             await self.admit(budget, part, deadline)
             left -= part
 
+    def count_waiting(self, budget: str) -> int:
+        """Return how many requests wait for a budget."""
+        return self._waiting.get(budget, 0)
+
+    def needs_loan(self, budget: str) -> bool:
+        """Tell whether a budget runs low."""
+        share = self.rates.get(budget)
+        if share is None:
+            return False
+        waiting = self.count_waiting(budget)
+        return not share.find_need(self._clock(), waiting).is_zero
+
     def lend(self, request: BorrowRequest) -> Loan | None:
         """Answer a peer's request for part of a share."""
         share = self.rates.get(request.budget)
         if share is None or not self._lends:
             return None
-        return share.lend(request, self._clock())
+        waiting = self.count_waiting(request.budget)
+        return share.lend(request, self._clock(), waiting)
 
     def stop_lending(self) -> None:
         """Lend no more, so that the shares can be handed on."""
--- a/src/gypsummount/_entry/lending.py
+++ b/src/gypsummount/_entry/lending.py
@@ -3,17 +3,21 @@
 from asyncio import create_task
 from asyncio import sleep
 from asyncio import Task
+from asyncio import wait
 from random import Random
 
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.metrics import Metrics
+from gypsummount._core.loans import LoanReturn
 from gypsummount._entry.budgets import EntryBudgets
 from gypsummount._entry.peers import PeerCalls
 from gypsummount._entry.snapshot import Peer
 from gypsummount._entry.snapshot import Snapshot
 
 FIRST_PAUSE_S = 0.02
+LONGEST_RECENT_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.5
+RECENT_S = 2.0
 
 
 class Borrower:
@@ -34,6 +38,8 @@
         self._random = random
         self._rounds: dict[str, Task[None]] = {}
         self._pauses: dict[str, float] = {}
+        self._lent_at: dict[str, float] = {}
+        self._returns: set[Task[None]] = set()
         self.budgets: EntryBudgets | None = None
 
     def pull(self, budget: str) -> None:
@@ -44,44 +50,65 @@
         self._rounds[budget] = task
         task.add_done_callback(lambda _: self._rounds.pop(budget, None))
 
-    async def return_idle(self, *, all_of_it: bool = False) -> None:
-        """Return the loans that the demand no longer needs."""
+    def return_idle(self) -> None:
+        """Return every loan that the demand no longer needs."""
+        for budget in list(self.budgets.rates):
+            self.return_idle_of(budget)
+
+    def return_idle_of(self, budget: str) -> None:
+        """Return the loans of one budget that are no longer needed."""
+        share = self.budgets.rates.get(budget)
+        if share is not None:
+            self._send(share.return_idle(read_monotonic()))
+
+    async def return_all(self) -> None:
+        """Return every loan, for a planned stop."""
         for share in list(self.budgets.rates.values()):
-            now = read_monotonic()
-            if all_of_it:
-                returned = share.return_all(now)
-            else:
-                returned = share.return_idle(now)
-            for lender, message in returned:
-                await self._peers.return_loan(lender, message)
+            self._send(share.return_all(read_monotonic()))
+        if self._returns:
+            await wait(set(self._returns))
+
+    def _send(self, returned: list[tuple[str, LoanReturn]]) -> None:
+        for lender, message in returned:
+            task = create_task(self._peers.return_loan(lender, message))
+            self._returns.add(task)
+            task.add_done_callback(self._returns.discard)
 
     def close(self) -> None:
         """Cancel the rounds under way."""
-        for task in list(self._rounds.values()):
+        for task in (*self._rounds.values(), *self._returns):
             task.cancel()
 
     async def _run_round(self, budget: str) -> None:
         lent = 0
         for peer in self._list_lenders():
-            share = self.budgets.rates.get(budget)
-            total = self.budgets.find_total(budget)
-            if share is None or total is None:
-                break
-            if not share.is_low(read_monotonic()):
+            if not self.budgets.needs_loan(budget):
                 break
             lent += await self._borrow_from(peer, budget)
-        pause_s = FIRST_PAUSE_S
-        if not lent:
-            last_s = self._pauses.get(budget, FIRST_PAUSE_S)
-            pause_s = min(last_s * 2, LONGEST_PAUSE_S)
-        self._pauses[budget] = pause_s
-        await sleep(pause_s)
+        await sleep(self._find_pause(budget, lent))
+
+    def _find_pause(self, budget: str, lent: int) -> float:
+        """Return the pause after a round, in seconds.
+
+        It grows while nobody lends, but little at first: a request
+        waits for less than half a second.
+        """
+        now = read_monotonic()
+        if lent:
+            self._lent_at[budget] = now
+            self._pauses[budget] = FIRST_PAUSE_S
+            return FIRST_PAUSE_S
+        is_recent = now - self._lent_at.get(budget, 0.0) < RECENT_S
+        longest_s = LONGEST_RECENT_PAUSE_S if is_recent else LONGEST_PAUSE_S
+        last_s = self._pauses.get(budget, FIRST_PAUSE_S)
+        self._pauses[budget] = min(last_s * 2, longest_s)
+        return self._pauses[budget]
 
     async def _borrow_from(self, peer: Peer, budget: str) -> int:
         share = self.budgets.rates[budget]
-        total = self.budgets.find_total(budget)
         address = peer.entry.peer_address
-        request = share.build_request(address, total, read_monotonic())
+        waiting = self.budgets.count_waiting(budget)
+        request = share.build_request(address, read_monotonic(), waiting)
         if request is None:
             return 0
         loan = await self._peers.borrow(address, request)
@@ -90,6 +117,8 @@
             return 0
         self._metrics.count("budgets.loans")
         self.budgets.wake(budget)
+        await sleep(0)
+        self._send(share.return_spent(read_monotonic()))
         return 1
 
     def _list_lenders(self) -> list[Peer]:
--- a/src/gypsummount/_entry/peers.py
+++ b/src/gypsummount/_entry/peers.py
@@ -42,6 +42,7 @@
             loan_id=request.loan_id,
             budget=request.budget,
             wanted=pack_amount(request.wanted),
+            urgent=request.is_urgent,
         )
         stub = EntryPeerStub(self._channels.find(address))
         try:
--- a/src/gypsummount/_entry/process.py
+++ b/src/gypsummount/_entry/process.py
@@ -137,7 +137,11 @@
         sockets = bind_address("--listen", settings.listen)
         server = open_server("--peer-listen", settings.peer_listen)
         service = EntryService(
-            self.snapshot, self.budgets, self._steering, self._homes
+            self.snapshot,
+            self.budgets,
+            self._steering,
+            self._homes,
+            self._borrower,
         )
         add_EntryPeerServicer_to_server(service, server)
         stack.callback(self.metrics.close)
@@ -171,7 +175,7 @@
         self.front.is_closing = True
         self.front.stop_listening()
         await self._wait_until(self._is_idle, settings.stop_limit_s)
-        await self._borrower.return_idle(all_of_it=True)
+        await self._borrower.return_all()
         await self._wait_until(self.budgets.has_lent_nothing, LEND_END_LIMIT_S)
         if self.budgets.has_lent_nothing():
             self.budgets.retire()
@@ -225,6 +229,7 @@
             self._settings.peer_listen,
             self.phase,
             self.upstreams.list_loads(),
+            self.versions.list_evidence(),
         )
 
     def _take(self, update: peer_pb2.EntryUpdate) -> None:
@@ -242,7 +247,7 @@
     async def _keep_up(self) -> None:
         self.budgets.advance()
         self.upstreams.follow(self.budgets.slots)
-        await self._borrower.return_idle()
+        self._borrower.return_idle()
         addresses = {peer.entry.peer_address for peer in self.snapshot.peers}
         addresses.add(self._settings.agent)
         await self._channels.close_unused(addresses)
--- a/src/gypsummount/_entry/service.py
+++ b/src/gypsummount/_entry/service.py
@@ -14,6 +14,7 @@
 from gypsummount._core.sanitizing import Header
 from gypsummount._entry.budgets import EntryBudgets
 from gypsummount._entry.homes import Homes
+from gypsummount._entry.lending import Borrower
 from gypsummount._entry.requests import SteeredRequest
 from gypsummount._entry.snapshot import Snapshot
 from gypsummount._entry.steering import Steering
@@ -34,9 +35,11 @@
         budgets: EntryBudgets,
         steering: Steering,
         homes: Homes,
+        borrower: Borrower,
     ) -> None:
         self._snapshot = snapshot
         self._budgets = budgets
+        self._borrower = borrower
         self._steering = steering
         self._homes = homes
         self._counter = 0
@@ -44,10 +47,14 @@
     async def Borrow(
         self, request: peer_pb2.BorrowRequest, context: ServicerContext
     ) -> peer_pb2.BorrowReply:
-        """Lend part of a share."""
+        """Lend part of a share; idle loans go back to their lenders."""
+        self._borrower.return_idle_of(request.budget)
         loan = self._budgets.lend(
             BorrowRequest(
-                request.loan_id, request.budget, unpack_amount(request.wanted)
+                request.loan_id,
+                request.budget,
+                unpack_amount(request.wanted),
+                request.urgent,
             )
         )
         if loan is None:
--- a/src/gypsummount/_entry/snapshot.py
+++ b/src/gypsummount/_entry/snapshot.py
@@ -93,7 +93,7 @@
     def find_peer(self, incarnation: str) -> Peer | None:
         """Return the peer entry of an incarnation."""
         for peer in self.peers:
-            if peer.entry.token.startswith(f"{incarnation}."):
+            if peer.entry.incarnation == incarnation:
                 return peer
         return None
 
--- a/src/gypsummount/_entry/versions.py
+++ b/src/gypsummount/_entry/versions.py
@@ -1,11 +1,14 @@
 """Which version a request goes to, and faults of new versions."""
 
 from dataclasses import dataclass
+from dataclasses import replace
 
 from gypsummount._common.logs import get_logger
 from gypsummount._config.model import RolloutPlan
 from gypsummount._config.model import Route
 from gypsummount._core.rollouts import Baseline
+from gypsummount._core.rollouts import Evidence
+from gypsummount._core.rollouts import EvidenceBatch
 from gypsummount._core.rollouts import FaultJudge
 from gypsummount._core.rollouts import SplitCounter
 from gypsummount._core.rollouts import Veto
@@ -54,6 +57,7 @@
         self._counters: dict[_CounterName, SplitCounter] = {}
         self._judges: dict[_JudgeName, FaultJudge] = {}
         self._baselines: dict[str, Baseline] = {}
+        self._evidence: dict[_JudgeName, Evidence] = {}
         self.own_vetoes: set[Veto] = set()
 
     def choose(self, route: Route, now: float) -> Choice:
@@ -86,8 +90,10 @@
             baseline.observe(failed=failed, latency_s=latency_s)
             return
         name = _JudgeName(choice.rollout, choice.attempt, route.prefix)
-        judge = self._judges.setdefault(name, FaultJudge(baseline))
-        reason = judge.observe(failed=failed, latency_s=latency_s)
+        batch = _build_batch(baseline, failed=failed, latency_s=latency_s)
+        self._add_evidence(name, batch)
+        judge = self._judges.setdefault(name, FaultJudge())
+        reason = judge.observe(batch)
         if reason is None:
             return
         text = f"{reason} on {route.prefix}"
@@ -96,6 +102,17 @@
             _log.warning("Vetoed %s: %s.", choice.rollout, text)
             self.own_vetoes.add(veto)
 
+    def list_evidence(self) -> tuple[Evidence, ...]:
+        """Return what was counted of the attempts under way."""
+        return tuple(
+            replace(
+                evidence,
+                old_answers=self._baselines[evidence.route].answers,
+                old_failures=self._baselines[evidence.route].failures,
+            )
+            for evidence in self._evidence.values()
+        )
+
     def forget_past(self) -> None:
         """Drop counters and judges of ended attempts and steps."""
         for name in list(self._counters):
@@ -109,6 +126,19 @@
             share = self._snapshot.rollouts.get(name.rollout)
             if share and share.attempt != name.attempt:
                 del self._judges[name]
+                self._evidence.pop(name, None)
+
+    def _add_evidence(self, name: _JudgeName, batch: EvidenceBatch) -> None:
+        known = self._evidence.get(name) or Evidence(
+            name.rollout, name.attempt, name.route
+        )
+        self._evidence[name] = replace(
+            known,
+            answers=known.answers + batch.answers,
+            failures=known.failures + batch.failures,
+            slow=known.slow + batch.slow,
+            timed=known.timed + batch.timed,
+        )
 
     def _find_counter(
         self, plan: RolloutPlan, share: RolloutShare, route: Route
@@ -147,3 +177,13 @@
             if pool.service == service
         )
         return versions[0] if versions else ""
+
+
+def _build_batch(
+    baseline: Baseline, *, failed: bool, latency_s: float
+) -> EvidenceBatch:
+    is_timed = not failed and baseline.is_ready
+    is_slow = is_timed and latency_s > baseline.slow_limit_s
+    return EvidenceBatch(
+        1, int(failed), int(is_timed), int(is_slow), baseline.error_rate
+    )
