--- /dev/null
+++ b/tests/entry/test_connections.py
@@ -0,0 +1,211 @@
+"""Whole answers over kept connections, however upstreams misbehave."""
+
+from asyncio import CancelledError
+from asyncio import create_task
+from asyncio import sleep
+
+import pytest
+
+from gypsummount._entry.connections import ConnectionPool
+from gypsummount._entry.connections import ExchangeError
+from gypsummount._entry.connections import ExchangeTimeout
+from gypsummount._entry.connections import FRESH_S
+from gypsummount._entry.connections import UpstreamRequest
+from tests.entry.wires import build_answer
+from tests.entry.wires import read_request
+from tests.entry.wires import ScriptedUpstream
+
+LIMIT_S = 0.3
+
+
+def create_request(number=1, method="GET"):
+    return UpstreamRequest(method, "/x", (), b"", f"id-{number}")
+
+
+async def serve_well(reader, writer):
+    while True:
+        head = await read_request(reader)
+        writer.write(build_answer(head, b"whole"))
+
+
+async def send(pool, number=1, *, limit_s=LIMIT_S, repeatable=True):
+    return await pool.send(
+        create_request(number), limit_s, repeatable=repeatable
+    )
+
+
+class TestReuse:
+    async def test_clean_exchanges_share_one_connection(self):
+        async with ScriptedUpstream(serve_well) as upstream:
+            pool = ConnectionPool(upstream.address)
+            for number in range(20):
+                assert (await send(pool, number)).body == b"whole"
+            pool.close()
+            assert upstream.connections == 1
+
+    async def test_old_connection_takes_no_single_run_request(self):
+        async with ScriptedUpstream(serve_well) as upstream:
+            pool = ConnectionPool(upstream.address)
+            await send(pool)
+            await sleep(FRESH_S + 0.05)
+            await send(pool, repeatable=False)
+            pool.close()
+            assert upstream.connections == 2
+
+    async def test_closed_idle_connection_is_not_used(self):
+        async def serve_one(reader, writer):
+            head = await read_request(reader)
+            writer.write(build_answer(head, b"whole"))
+            await writer.drain()
+
+        async with ScriptedUpstream(serve_one) as upstream:
+            pool = ConnectionPool(upstream.address)
+            for number in range(3):
+                assert (await send(pool, number)).body == b"whole"
+                await sleep(0.02)
+            pool.close()
+            assert upstream.connections == 3
+
+    async def test_late_answer_is_not_taken_for_the_next_request(self):
+        async def serve_late(reader, writer):
+            head = await read_request(reader)
+            await sleep(LIMIT_S + 0.1)
+            writer.write(build_answer(head, b"late"))
+            await serve_well(reader, writer)
+
+        async with ScriptedUpstream(serve_late) as upstream:
+            pool = ConnectionPool(upstream.address)
+            with pytest.raises(ExchangeTimeout):
+                await send(pool, 1)
+            answer = await send(pool, 2, limit_s=2 * LIMIT_S)
+            pool.close()
+            assert answer.body == b"late"
+            assert upstream.connections == 2
+
+    async def test_answer_that_nobody_asked_for_ends_the_connection(self):
+        async def serve_double(reader, writer):
+            while True:
+                head = await read_request(reader)
+                answer = build_answer(head, b"whole")
+                extra = build_answer(head, b"extra")
+                writer.write(answer + extra)
+
+        async with ScriptedUpstream(serve_double) as upstream:
+            pool = ConnectionPool(upstream.address)
+            for number in range(5):
+                assert (await send(pool, number)).body == b"whole"
+            pool.close()
+            assert upstream.connections == 5
+
+    async def test_extra_answer_that_comes_later_is_seen(self):
+        async def serve_double(reader, writer):
+            head = await read_request(reader)
+            writer.write(build_answer(head, b"whole"))
+            await sleep(0.02)
+            writer.write(build_answer(head, b"extra"))
+            await serve_well(reader, writer)
+
+        async with ScriptedUpstream(serve_double) as upstream:
+            pool = ConnectionPool(upstream.address)
+            for number in range(3):
+                assert (await send(pool, number)).body == b"whole"
+                await sleep(0.05)
+            pool.close()
+            assert upstream.connections == 3
+
+
+class TestBrokenAnswers:
+    async def test_cut_body_is_an_error(self):
+        async def serve_cut(reader, writer):
+            head = await read_request(reader)
+            writer.write(build_answer(head, b"who", length="5"))
+            await writer.drain()
+
+        await self.check_error(serve_cut, sent=True)
+
+    async def test_body_without_a_length_is_an_error(self):
+        async def serve_endless(reader, writer):
+            await read_request(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\nwho")
+            await writer.drain()
+
+        await self.check_error(serve_endless, sent=True)
+
+    async def test_answer_to_another_request_is_an_error(self):
+        async def serve_crossed(reader, writer):
+            head = await read_request(reader)
+            writer.write(build_answer(head, b"whole", request_id="other"))
+            await sleep(1)
+
+        await self.check_error(serve_crossed, sent=True)
+
+    async def test_garbage_is_an_error(self):
+        async def serve_garbage(reader, writer):
+            await read_request(reader)
+            writer.write(b"what?\r\n\r\n")
+            await sleep(1)
+
+        await self.check_error(serve_garbage, sent=True)
+
+    async def test_close_without_an_answer_is_an_error(self):
+        async def serve_nothing(reader, writer):
+            await read_request(reader)
+
+        await self.check_error(serve_nothing, sent=True)
+
+    async def test_refused_connection_says_that_nothing_was_sent(self):
+        async with ScriptedUpstream(serve_well) as upstream:
+            address = upstream.address
+        pool = ConnectionPool(address)
+        with pytest.raises(ExchangeError) as failure:
+            await send(pool)
+        assert not failure.value.sent
+
+    async def check_error(self, script, *, sent):
+        async with ScriptedUpstream(script) as upstream:
+            pool = ConnectionPool(upstream.address)
+            with pytest.raises(ExchangeError) as failure:
+                await send(pool)
+            assert failure.value.sent == sent
+            assert pool.idle == 0
+
+
+class TestCancellation:
+    async def test_cancelled_request_closes_its_connection(self):
+        seen = []
+
+        async def serve_slowly(reader, writer):
+            await read_request(reader)
+            seen.append(await reader.read(1))
+
+        async with ScriptedUpstream(serve_slowly) as upstream:
+            pool = ConnectionPool(upstream.address)
+            task = create_task(send(pool, limit_s=5))
+            await sleep(0.05)
+            task.cancel()
+            with pytest.raises(CancelledError):
+                await task
+            await sleep(0.05)
+            assert seen == [b""]
+            assert pool.idle == 0
+
+    async def test_silence_puts_the_idle_connections_under_suspicion(self):
+        count = 0
+
+        async def serve_then_hang(reader, writer):
+            nonlocal count
+            head = await read_request(reader)
+            writer.write(build_answer(head, b"whole"))
+            count += 1
+            await read_request(reader)
+            await sleep(5)
+
+        async with ScriptedUpstream(serve_then_hang) as upstream:
+            pool = ConnectionPool(upstream.address)
+            tasks = [create_task(send(pool, number)) for number in range(3)]
+            for task in tasks:
+                await task
+            assert pool.idle == 3
+            with pytest.raises(ExchangeTimeout):
+                await send(pool, 9, limit_s=0.1)
+            assert pool.idle == 0
--- /dev/null
+++ b/tests/entry/wires.py
@@ -0,0 +1,69 @@
+"""Upstreams that misbehave on the wire, one script a connection."""
+
+from asyncio import start_server
+from asyncio import StreamReader
+from asyncio import StreamWriter
+from collections.abc import Awaitable
+from collections.abc import Callable
+import re
+
+Script = Callable[[StreamReader, StreamWriter], Awaitable[None]]
+_LENGTH = re.compile(rb"content-length: (\d+)", re.IGNORECASE)
+_ID = re.compile(rb"x-request-id: (\S+)", re.IGNORECASE)
+
+
+async def read_request(reader: StreamReader) -> bytes:
+    """Read one request and return its head."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = _LENGTH.search(head)
+    if length:
+        await reader.readexactly(int(length.group(1)))
+    return head
+
+
+def build_answer(head: bytes, body: bytes, **changes: str) -> bytes:
+    """Return an answer that echoes the request's id."""
+    found = _ID.search(head)
+    request_id = changes.get("request_id") or found.group(1).decode()
+    length = changes.get("length") or str(len(body))
+    lines = [
+        "HTTP/1.1 200 OK",
+        f"Content-Length: {length}",
+        f"X-Request-Id: {request_id}",
+        "",
+        "",
+    ]
+    return "\r\n".join(lines).encode() + body
+
+
+class ScriptedUpstream:
+    """Runs a script for each connection and counts connections."""
+
+    def __init__(self, script: Script) -> None:
+        self._script = script
+        self._server = None
+        self._writers: list[StreamWriter] = []
+        self.connections = 0
+        self.requests = 0
+        self.address = ""
+
+    async def __aenter__(self) -> "ScriptedUpstream":
+        self._server = await start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        return self
+
+    async def __aexit__(self, *failure: object) -> None:
+        self._server.close()
+        for writer in self._writers:
+            writer.close()
+
+    async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        self.connections += 1
+        self._writers.append(writer)
+        try:
+            await self._script(reader, writer)
+        except (OSError, EOFError):
+            pass
+        finally:
+            writer.close()
