Prove the request path of one entry under faults of its upstreams

Cause: the entry's shell had no focused tests. Ruled out: one test failed at first because its client did not close its connection; a plain socket does, and the run was cancelled upstream. Before: none. After: refusals with true outcomes, single runs by the upstreams' own log, withdrawal on open connections, keys in no place, hedges, retries within budget, ejection of a lying upstream, drains.

--- /dev/null
+++ b/tests/entry/conftest.py
@@ -0,0 +1,16 @@
+"""Fixtures of the entry tests."""
+
+from contextlib import AsyncExitStack
+
+from pytest_asyncio import fixture
+
+from tests.entry.lone import LoneEntry
+
+
+@fixture
+async def lone():
+    """A lone entry that serves."""
+    async with AsyncExitStack() as stack:
+        entry = LoneEntry(stack)
+        await entry.start()
+        yield entry
--- /dev/null
+++ b/tests/entry/test_front.py
@@ -0,0 +1,186 @@
+"""The callers' interface: codes, outcomes, keys and look-ups."""
+
+from asyncio import create_task
+from asyncio import sleep
+from json import loads
+
+import pytest
+
+from gypsummount._core.amounts import Amount
+from gypsummount._core.keys import KEY_PATTERN
+from gypsummount._proto import peer_pb2
+from gypsummount.errors import REQUEST_ERRORS
+from tests.entry.lone import read_code
+from tests.entry.lone import read_outcome
+
+
+class TestRefusals:
+    @pytest.mark.parametrize(
+        ("path", "headers", "status", "code"),
+        [
+            ("/rondas", {}, 401, "key_missing"),
+            ("/rondas", {"X-Api-Key": "x"}, 403, "key_refused"),
+            ("/nowhere", {}, 404, "route_missing"),
+            ("/v1/other", {}, 400, "request_invalid"),
+            ("/rondas/../open", {}, 400, "request_invalid"),
+            ("/open/%2e%2e/rondas", {}, 400, "request_invalid"),
+            ("/open/%252e%252e/rondas", {}, 400, "request_invalid"),
+            (
+                "/open",
+                {"Gypsummount-Deadline-Ms": "soon"},
+                400,
+                "request_invalid",
+            ),
+            ("/v1/lookup?service=rondas", {}, 401, "key_missing"),
+        ],
+        ids=lambda value: str(value)[:24],
+    )
+    async def test_refusal_names_code_and_outcome(
+        self, lone, path, headers, status, code
+    ):
+        response = await lone.call(path, headers=headers)
+        assert response.code == status
+        assert read_code(response) == code
+        assert read_outcome(response) == "not-run"
+        assert loads(response.body)["message"]
+        assert lone.count_runs("rondas") == 0
+
+    async def test_rate_without_a_token_is_refused_with_a_hint(self, lone):
+        key = lone.grant("w")
+        lone.grant_shares(Amount(0.0, 0.0))
+        response = await lone.call("/rondas", key)
+        assert response.code == 429
+        assert read_outcome(response) == "not-run"
+        assert response.headers["Retry-After"] == "1"
+        assert lone.count_runs("rondas") == 0
+
+    async def test_every_code_has_a_status(self):
+        assert all(kind.status >= 400 for kind in REQUEST_ERRORS.values())
+
+
+class TestAnswers:
+    async def test_whole_answer_of_an_upstream_comes_back(self, lone):
+        key = lone.grant("w")
+        await sleep(0.05)
+        response = await lone.call("/rondas/hoy?a=1", key)
+        assert response.code == 200
+        assert b"GET /rondas/hoy?a=1" in response.body
+        assert read_outcome(response) is None
+
+    async def test_open_route_needs_no_key(self, lone):
+        await sleep(0.05)
+        assert (await lone.call("/open")).code == 200
+        assert lone.of_service("rondas")[0].runs or lone.count_runs("rondas")
+
+    async def test_key_runs_its_own_workspace_only(self, lone):
+        key = lone.grant("other")
+        await sleep(0.05)
+        headers = {"X-Workspace": "w"}
+        assert (await lone.call("/rondas", key, headers=headers)).code == 200
+        runs = [run for one in lone.of_service("rondas") for run in one.runs]
+        assert {run.workspace for run in runs} == {"other"}
+
+    async def test_two_different_keys_are_refused(self, lone):
+        first, second = lone.grant("w"), lone.grant("other")
+        headers = {"X-Api-Key": second}
+        response = await lone.call("/rondas", first, headers=headers)
+        assert read_code(response) == "request_invalid"
+
+    async def test_upstream_sees_no_key_in_any_place(self, lone):
+        key = lone.grant("w")
+        await sleep(0.05)
+        headers = {
+            "x-aPI-key": key,
+            "Cookie": f"a=1; session={key}",
+            "X-Forwarded-Key": key,
+            "Referer": f"http://x/?k={key}",
+        }
+        response = await lone.call(
+            f"/rondas?k={key}&b=2", key, headers=headers
+        )
+        assert response.code == 200
+        seen = [
+            line
+            for one in lone.of_service("rondas")
+            for line in one.headers_seen
+        ]
+        assert seen
+        assert not any(KEY_PATTERN.search(line) for line in seen)
+        assert any("/rondas?b=2" in line for line in seen)
+
+
+class TestWithdrawal:
+    async def test_open_connection_is_refused_at_once(self, lone):
+        key = lone.grant("w")
+        await sleep(0.05)
+        assert (await lone.call("/rondas", key)).code == 200
+        lone.withdraw_all()
+        response = await lone.call("/rondas", key)
+        assert read_code(response) == "key_refused"
+
+    async def test_request_that_waits_is_refused_when_its_turn_comes(
+        self, lone
+    ):
+        key = lone.grant("w")
+        await sleep(0.05)
+        lone.switch("rondas", latency_s=0.15)
+        tasks = [create_task(lone.call("/rondas", key)) for _ in range(10)]
+        await sleep(0.08)
+        lone.withdraw_all()
+        responses = [await task for task in tasks]
+        refused = [one for one in responses if one.code == 403]
+        assert refused
+        assert all(read_outcome(one) == "not-run" for one in refused)
+        assert lone.count_runs("rondas") == len(responses) - len(refused)
+
+    async def test_older_key_set_brings_no_key_back(self, lone):
+        key = lone.grant("w")
+        records = list(lone.records)
+        lone.withdraw_all()
+        lone.records = records
+        lone.keys_serial = 0
+        lone.send_keys()
+        response = await lone.call("/rondas", key)
+        assert read_code(response) == "key_refused"
+
+
+class TestLookups:
+    async def test_answer_lists_entries_with_their_incarnation(self, lone):
+        key = lone.grant("w")
+        member = peer_pb2.Member(
+            instance="i", domain="a", region="r", phase="serving"
+        )
+        member.entries.add(
+            name="i/x", token="t.0", http_address="1.2.3.4:5", phase="serving"
+        )
+        lone.update(members=[member])
+        response = await lone.call("/v1/lookup?service=rondas", key)
+        answer = loads(response.body)
+        assert answer["entries"] == [
+            {"address": "1.2.3.4:5", "incarnation": "t.0", "weight": 100}
+        ]
+        assert answer["ttl_s"] > 0
+
+    async def test_unknown_service_is_refused(self, lone):
+        key = lone.grant("w")
+        response = await lone.call("/v1/lookup?service=none", key)
+        assert read_code(response) == "request_invalid"
+
+
+class TestStaleKeys:
+    async def test_refusing_policy_refuses_keyed_routes_only(self, lone):
+        key = lone.grant("w")
+        text = lone.entry.snapshot
+        rules = text.rules
+        assert rules.key_policy.when_stale.value == "serve"
+        lone.update(keys_may_be_stale=True)
+        await sleep(0.05)
+        assert (await lone.call("/rondas", key)).code == 200
+        refusing = lone.rules + "keys stale_s=1 when_stale=refuse # t\n"
+        lone.update(
+            config=peer_pb2.ConfigText(serial=2, text=refusing),
+            keys_may_be_stale=True,
+        )
+        response = await lone.call("/rondas", key)
+        assert read_code(response) == "key_stale"
+        assert (await lone.call("/open")).code != 401
--- /dev/null
+++ b/tests/entry/test_steering.py
@@ -0,0 +1,270 @@
+"""The request path: slots, retries, hedges and single runs."""
+
+from asyncio import create_task
+from asyncio import gather
+from asyncio import open_connection
+from asyncio import sleep
+from collections import Counter
+
+import pytest
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._core.health import FAULTS_TO_EJECT
+from tests.entry.lone import read_code
+from tests.entry.lone import read_outcome
+
+SETTLE_S = 0.05
+
+
+def create_key_header(lone, nonce="n"):
+    return {"Idempotency-Key": f"{nonce}@{lone.token}"}
+
+
+async def book(lone, key, headers=None, body=b"plot"):
+    return await lone.call(
+        "/reservas", key, method="POST", headers=headers, body=body
+    )
+
+
+class TestSlots:
+    async def test_no_upstream_runs_more_than_its_slots(self, lone):
+        key = lone.grant("w")
+        await sleep(SETTLE_S)
+        lone.switch("rondas", latency_s=0.03)
+        responses = await gather(
+            *(lone.call("/rondas", key) for _ in range(40))
+        )
+        assert all(response.code == 200 for response in responses)
+        for one in lone.of_service("rondas"):
+            assert one.most_in_flight <= one.slots
+
+    async def test_waiting_beyond_the_deadline_is_refused_as_not_run(
+        self, lone
+    ):
+        key = lone.grant("w")
+        await sleep(SETTLE_S)
+        lone.switch("rondas", latency_s=0.3)
+        headers = {"Gypsummount-Deadline-Ms": "60"}
+        blocked = [create_task(lone.call("/rondas", key)) for _ in range(8)]
+        await sleep(0.03)
+        runs = lone.count_runs("rondas")
+        response = await lone.call("/rondas", key, headers=headers)
+        assert read_code(response) == "no_capacity"
+        assert read_outcome(response) == "not-run"
+        assert lone.count_runs("rondas") == runs
+        await gather(*blocked)
+
+    async def test_caller_that_leaves_is_cancelled_upstream(self, lone):
+        key = lone.grant("w")
+        await sleep(SETTLE_S)
+        lone.switch("rondas", latency_s=0.4)
+        host, _, port = lone.listen.rpartition(":")
+        _, writer = await open_connection(host, int(port))
+        head = f"GET /rondas HTTP/1.1\r\nHost: x\r\nX-Api-Key: {key}"
+        writer.write(f"{head}\r\n\r\n".encode())
+        await sleep(0.1)
+        assert lone.count_runs("rondas") == 1
+        writer.close()
+        await sleep(0.1)
+        assert sum(one.cancelled for one in lone.upstreams) == 1
+
+
+class TestRepeatable:
+    async def test_failed_connection_is_retried_elsewhere(self, lone):
+        key = lone.grant("w")
+        await sleep(SETTLE_S)
+        lone.of_service("rondas")[0].switches.drop_share = 1.0
+        responses = [await lone.call("/rondas", key) for _ in range(8)]
+        assert [response.code for response in responses] == [200] * 8
+
+    async def test_silent_upstream_is_hedged_before_the_deadline(self, lone):
+        key = lone.grant("w")
+        await sleep(SETTLE_S)
+        for _ in range(6):
+            await lone.call("/rondas", key)
+        lone.of_service("rondas")[0].switches.silent_share = 1.0
+        started = read_monotonic()
+        responses = [await lone.call("/rondas", key) for _ in range(4)]
+        assert [response.code for response in responses] == [200] * 4
+        assert read_monotonic() - started < 4 * 0.5
+
+    async def test_faulty_upstream_is_ejected(self, lone):
+        key = lone.grant("w")
+        await sleep(SETTLE_S)
+        bad = lone.of_service("rondas")[0]
+        bad.switches.error_share = 1.0
+        for _ in range(30):
+            await lone.call("/rondas", key)
+        assert len(bad.runs) <= 2 * FAULTS_TO_EJECT
+
+    async def test_misleading_health_and_load_do_not_attract(self, lone):
+        """An upstream that says it is idle and healthy, but fails."""
+        key = lone.grant("w")
+        await sleep(SETTLE_S)
+        liar = lone.of_service("rondas")[0]
+        liar.switches.error_share = 1.0
+        liar.switches.reported_load = 0.0
+        lone.of_service("rondas")[1].switches.reported_load = 9.0
+        for _ in range(30):
+            await lone.call("/rondas", key)
+        assert len(liar.runs) <= 2 * FAULTS_TO_EJECT
+
+    async def test_retries_stay_within_their_budget(self, lone):
+        key = lone.grant("w")
+        await sleep(SETTLE_S)
+        lone.switch("rondas", drop_share=1.0)
+        for _ in range(60):
+            await lone.call("/rondas", key)
+        saved = 10
+        assert lone.count_runs("rondas") <= 60 * 1.1 + saved
+
+
+class TestSingleRuns:
+    @pytest.mark.parametrize(
+        "fault",
+        ["drop_share", "truncate_share", "cross_share", "silent_share"],
+    )
+    async def test_broken_exchange_is_unknown_and_never_run_again(
+        self, lone, fault
+    ):
+        key = lone.grant("w")
+        await sleep(SETTLE_S)
+        lone.switch("reservas", **{fault: 1.0})
+        headers = create_key_header(lone)
+        first = await book(lone, key, headers)
+        assert first.code == 504
+        assert read_outcome(first) == "unknown"
+        lone.switch("reservas", **{fault: 0.0})
+        second = await book(lone, key, headers)
+        assert read_outcome(second) == "unknown"
+        assert lone.count_runs("reservas") == 1
+
+    async def test_retry_replays_the_whole_answer(self, lone):
+        key = lone.grant("w")
+        await sleep(SETTLE_S)
+        headers = create_key_header(lone)
+        answers = [await book(lone, key, headers) for _ in range(3)]
+        assert len({answer.body for answer in answers}) == 1
+        assert lone.count_runs("reservas") == 1
+
+    async def test_retries_at_once_share_one_run(self, lone):
+        key = lone.grant("w")
+        await sleep(SETTLE_S)
+        headers = create_key_header(lone)
+        answers = await gather(*(book(lone, key, headers) for _ in range(6)))
+        assert [answer.code for answer in answers] == [200] * 6
+        assert lone.count_runs("reservas") == 1
+
+    async def test_caller_that_left_finds_its_answer(self, lone):
+        key = lone.grant("w")
+        await sleep(SETTLE_S)
+        lone.switch("reservas", latency_s=0.2)
+        headers = create_key_header(lone)
+        impatient = headers | {"Gypsummount-Deadline-Ms": "50"}
+        lost = await book(lone, key, impatient)
+        assert read_outcome(lost) == "unknown"
+        await sleep(0.3)
+        lone.switch("reservas", latency_s=0.005)
+        retried = await book(lone, key, headers)
+        assert lone.count_runs("reservas") <= 1
+        assert read_outcome(retried) in (None, "unknown")
+
+    async def test_two_workspaces_may_use_the_same_key(self, lone):
+        first, second = lone.grant("w"), lone.grant("other")
+        await sleep(SETTLE_S)
+        headers = create_key_header(lone)
+        await book(lone, first, headers)
+        await book(lone, second, headers)
+        assert lone.count_runs("reservas") == 2
+
+    async def test_same_key_with_another_body_is_refused(self, lone):
+        key = lone.grant("w")
+        await sleep(SETTLE_S)
+        headers = create_key_header(lone)
+        await book(lone, key, headers)
+        other = await book(lone, key, headers, b"another plot")
+        assert read_code(other) == "idempotency_key_reused"
+        assert lone.count_runs("reservas") == 1
+
+    async def test_key_of_a_lost_home_is_unknown(self, lone):
+        key = lone.grant("w")
+        headers = {"Idempotency-Key": "n@0123456789ab.0"}
+        response = await book(lone, key, headers)
+        assert read_outcome(response) == "unknown"
+        assert lone.count_runs("reservas") == 0
+
+    async def test_unbound_key_without_a_store_does_not_run(self, lone):
+        key = lone.grant("w")
+        response = await book(lone, key, {"Idempotency-Key": "plain"})
+        assert read_code(response) == "claim_unavailable"
+        assert read_outcome(response) == "unknown"
+        assert lone.count_runs("reservas") == 0
+
+    async def test_refusal_of_a_retry_does_not_deny_the_first_run(self, lone):
+        key = lone.grant("w")
+        await sleep(SETTLE_S)
+        headers = create_key_header(lone)
+        assert (await book(lone, key, headers)).code == 200
+        lone.withdraw_all()
+        refused = await book(lone, key, headers)
+        assert refused.code == 403
+        assert read_outcome(refused) == "unknown"
+
+    async def test_without_a_key_a_lost_answer_is_not_retried(self, lone):
+        key = lone.grant("w")
+        await sleep(SETTLE_S)
+        lone.switch("reservas", drop_share=1.0)
+        response = await book(lone, key)
+        assert read_outcome(response) == "unknown"
+        assert lone.count_runs("reservas") == 1
+
+    async def test_not_run_is_true_in_every_trace(self, lone):
+        """The upstreams' own log is the judge, under mixed faults."""
+        key = lone.grant("w")
+        await sleep(SETTLE_S)
+        lone.switch(
+            "reservas",
+            drop_share=0.2,
+            truncate_share=0.2,
+            error_share=0.1,
+            latency_s=0.02,
+        )
+        outcomes = {}
+
+        async def attempt(number):
+            headers = create_key_header(lone, f"n{number}")
+            for _ in range(3):
+                response = await book(lone, key, headers)
+                outcomes[headers["Idempotency-Key"]] = read_outcome(response)
+
+        await gather(*(attempt(number) for number in range(40)))
+        counts = Counter(
+            run.idempotency_key
+            for one in lone.of_service("reservas")
+            for run in one.runs
+        )
+        assert max(counts.values()) == 1
+        for text, outcome in outcomes.items():
+            if outcome == "not-run":
+                assert counts[text] == 0
+
+
+class TestLeavingUpstream:
+    async def test_drained_upstream_gets_no_new_work(self, lone):
+        key = lone.grant("w")
+        await sleep(SETTLE_S)
+        leaving = lone.of_service("rondas")[0]
+        lone.update(draining=[leaving.server])
+        before = len(leaving.runs)
+        for _ in range(20):
+            assert (await lone.call("/rondas", key)).code == 200
+        assert len(leaving.runs) == before
+
+    async def test_upstream_that_says_it_leaves_gets_one_request(self, lone):
+        key = lone.grant("w")
+        await sleep(SETTLE_S)
+        leaving = lone.of_service("rondas")[0]
+        leaving.switches.leaving = True
+        for _ in range(20):
+            assert (await lone.call("/rondas", key)).code == 200
+        assert len(leaving.runs) <= 1
