Prove kills, pauses, outages, stops and races with real processes

A stopped entry left before its callers' look-up answers were over, so a fresh booking met a home that was gone (504 unknown); and the load was over its workspace's rate. Ruled out: lost requests (no booking ran twice, 'not run' was true). The time of look-up answers is now a setting, and an entry refuses a drain that does not outlast it by 2 s; the load is 7.5/s against a rate of 12/s.

--- a/src/gypsummount/_core/lookups.py
+++ b/src/gypsummount/_core/lookups.py
@@ -6,7 +6,8 @@
 from gypsummount._core.membership import EntryInfo
 from gypsummount._core.membership import Member
 
-LOOKUP_TTL_S = 10
+LOOKUP_TTL_S = 10.0
+DRAIN_MARGIN_S = 2.0
 MAX_ENTRIES = 4
 LOCAL_WEIGHT = 100
 REGION_WEIGHT = 20
--- a/src/gypsummount/_entry/front.py
+++ b/src/gypsummount/_entry/front.py
@@ -18,7 +18,6 @@
 from gypsummount._common.metrics import Metrics
 from gypsummount._common.metrics import Series
 from gypsummount._core.keys import KeyRecord
-from gypsummount._core.lookups import LOOKUP_TTL_S
 from gypsummount._core.lookups import Place
 from gypsummount._core.lookups import rank_entries
 from gypsummount._core.outcomes import StoredAnswer
@@ -59,12 +58,14 @@
         homes: Homes,
         metrics: Metrics,
         place: Place,
+        lookup_ttl_s: float,
     ) -> None:
         self._snapshot = snapshot
         self._reader = reader
         self._homes = homes
         self._metrics = metrics
         self._place = place
+        self._lookup_ttl_s = lookup_ttl_s
         self._lookups: dict[_LookupName, bytes] = {}
         self._lookup_changes = -1
         self._tasks: set[Task[None]] = set()
@@ -114,7 +115,7 @@
             {
                 "Content-Type": "application/json",
                 "Content-Length": str(len(body)),
-                "Cache-Control": f"private, max-age={LOOKUP_TTL_S}",
+                "Cache-Control": f"private, max-age={int(self._lookup_ttl_s)}",
             }
         )
         line = ResponseStartLine("HTTP/1.1", 200, "OK")
@@ -149,7 +150,7 @@
         return dumps(
             {
                 "service": service,
-                "ttl_s": LOOKUP_TTL_S,
+                "ttl_s": self._lookup_ttl_s,
                 "entries": [
                     {
                         "address": entry.address,
--- a/src/gypsummount/_entry/process.py
+++ b/src/gypsummount/_entry/process.py
@@ -20,6 +20,8 @@
 from gypsummount._common.wire import pack_entry
 from gypsummount._common.wire import pack_veto
 from gypsummount._core.charts import Machine
+from gypsummount._core.lookups import DRAIN_MARGIN_S
+from gypsummount._core.lookups import LOOKUP_TTL_S
 from gypsummount._core.lookups import Place
 from gypsummount._core.membership import EntryInfo
 from gypsummount._core.outcomes import OutcomeTable
@@ -62,7 +64,8 @@
     agent: str
     pepper: bytes
     statsd: str = ""
-    drain_s: float = 12.0
+    lookup_ttl_s: float = LOOKUP_TTL_S
+    drain_s: float = LOOKUP_TTL_S + DRAIN_MARGIN_S
     stop_limit_s: float = 30.0
 
 
@@ -119,6 +122,7 @@
             self._homes,
             self.metrics,
             Place(settings.domain, settings.region),
+            settings.lookup_ttl_s,
         )
 
     @property
--- a/src/gypsummount/_entry/program.py
+++ b/src/gypsummount/_entry/program.py
@@ -15,8 +15,11 @@
 from gypsummount._common.settings import read_secret
 from gypsummount._common.settings import run_program
 from gypsummount._common.settings import Statsd
+from gypsummount._core.lookups import DRAIN_MARGIN_S
+from gypsummount._core.lookups import LOOKUP_TTL_S
 from gypsummount._entry.process import EntryProcess
 from gypsummount._entry.process import EntrySettings
+from gypsummount.errors import SettingError
 
 
 def serve(
@@ -68,10 +71,17 @@
         float,
         Option(
             envvar="GYPSUMMOUNT_DRAIN_S",
-            help="Seconds to serve on after SIGTERM; longer than callers "
-            "keep look-up answers (10 s).",
+            help="Seconds to serve on after SIGTERM; at least 2 s more "
+            "than --lookup-ttl-s.",
         ),
-    ] = 12.0,
+    ] = LOOKUP_TTL_S + DRAIN_MARGIN_S,
+    lookup_ttl_s: Annotated[
+        float,
+        Option(
+            envvar="GYPSUMMOUNT_LOOKUP_TTL_S",
+            help="Seconds for which callers may keep a look-up answer.",
+        ),
+    ] = LOOKUP_TTL_S,
     stop_limit_s: Annotated[
         float,
         Option(
@@ -95,7 +105,8 @@
             check_address("--agent", agent),
             read_secret("--pepper", pepper),
             check_address("--statsd", statsd) if statsd else "",
-            check_positive("--drain-s", drain_s, "seconds"),
+            check_positive("--lookup-ttl-s", lookup_ttl_s, "seconds"),
+            _check_drain(drain_s, lookup_ttl_s),
             check_positive("--stop-limit-s", stop_limit_s, "seconds"),
         )
         process = EntryProcess(settings)
@@ -105,6 +116,17 @@
     run_program(main)
 
 
+def _check_drain(drain_s: float, lookup_ttl_s: float) -> float:
+    """Return a time that outlasts the look-up answers of callers."""
+    least_s = lookup_ttl_s + DRAIN_MARGIN_S
+    if drain_s < least_s:
+        raise SettingError(
+            f"--drain-s: {drain_s:g} is too short, callers keep look-ups "
+            f"for {lookup_ttl_s:g} s; give at least {least_s:g} seconds"
+        )
+    return drain_s
+
+
 def run() -> None:
     """Run the program."""
     run_typer(serve)
--- /dev/null
+++ b/tests/processes/test_failures.py
@@ -0,0 +1,229 @@
+"""Failures of real processes: kills, pauses, outages and stops."""
+
+from asyncio import create_task
+from asyncio import gather
+from asyncio import sleep
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+from signal import SIGCONT
+from signal import SIGKILL
+from signal import SIGSTOP
+from signal import SIGTERM
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._load.caller import Call
+from gypsummount._load.caller import CallResult
+
+ROUNDS = Call("rondas", "GET", "/rondas/hoy", retries=3)
+BOOKING = Call(
+    "reservas", "POST", "/reservas", b"plot", repeatable=False, retries=3
+)
+IN_FORCE_S = 5.0
+SHARES_FILL_S = 2.0
+CONTACT_S = 8.0
+
+
+@dataclass(slots=True)
+class SteadyLoad:
+    """Callers that send until told to stop, with all their results."""
+
+    results: list[CallResult] = field(default_factory=list)
+    is_stopped: bool = False
+
+    async def run(self, caller, call, period_s):
+        while not self.is_stopped:
+            self.results.append(await caller.call(call))
+            await sleep(period_s)
+
+
+async def start_load(cluster, call, *, callers=4, period_s=0.5):
+    key = await cluster.grant("tarrazu")
+    await sleep(SHARES_FILL_S)
+    load = SteadyLoad()
+    tasks = [
+        create_task(load.run(cluster.create_caller(key), call, period_s))
+        for _ in range(callers)
+    ]
+    return load, tasks
+
+
+async def end_load(load, tasks):
+    load.is_stopped = True
+    await gather(*tasks)
+
+
+async def check_single_runs(cluster, results):
+    """Judge by the upstreams' log: no doubles, and not-run is true."""
+    counts = Counter(
+        run["idempotency_key"]
+        for run in await cluster.read_runs()
+        if run["idempotency_key"]
+    )
+    assert max(counts.values()) == 1
+    for result in results:
+        if result.outcome == "not-run" and result.idempotency_key:
+            assert counts[result.idempotency_key] == 0
+        if result.is_good:
+            assert counts[result.idempotency_key] == 1
+
+
+def list_bad(results):
+    return [f"{one.status} {one.code}" for one in results if not one.is_good]
+
+
+async def wait_config(cluster, serial, instances):
+    """Wait until instances and their entries have a configuration."""
+    names = {instance.name for instance in instances}
+
+    async def is_in_force():
+        status = await cluster.admin.read_status()
+        return all(
+            member["config_serial"] >= serial
+            for member in status["members"]
+            if member["instance"] in names
+        )
+
+    await cluster.wait_for(is_in_force, IN_FORCE_S)
+
+
+class TestPlannedStop:
+    async def test_stop_of_an_instance_cuts_no_request(self, cluster):
+        load, tasks = await start_load(cluster, BOOKING)
+        instance = cluster.instances[1]
+        instance.entry.signal(SIGTERM)
+        instance.agent.signal(SIGTERM)
+        assert await instance.entry.wait(20) == 0
+        assert await instance.agent.wait(20) == 0
+        await sleep(1.0)
+        await end_load(load, tasks)
+        assert len(load.results) > 20
+        assert list_bad(load.results) == []
+        await check_single_runs(cluster, load.results)
+
+    async def test_share_of_a_stopped_entry_is_handed_on(self, cluster):
+        instance = cluster.instances[2]
+        instance.entry.signal(SIGTERM)
+        assert await instance.entry.wait(20) == 0
+
+        async def is_handed_on():
+            ledger = await cluster.fetch(
+                cluster.store, "/objects/ledgers/workspaces"
+            )
+            rows = ledger["budgets"]["workspace:tarrazu"][3].values()
+            total = ledger["budgets"]["workspace:tarrazu"][1]
+            granted = sum(cells[0] for cells in rows)
+            return len(rows) == 7 and granted >= 0.95 * total
+
+        await cluster.wait_for(is_handed_on, 8.0)
+
+
+class TestKills:
+    async def test_killed_entry_doubles_nothing_and_is_replaced(self, cluster):
+        load, tasks = await start_load(cluster, BOOKING)
+        instance = cluster.instances[0]
+        instance.entry.signal(SIGKILL)
+        await sleep(1.5)
+        await cluster.start_entry(instance)
+        await sleep(3.0)
+        await end_load(load, tasks)
+        await check_single_runs(cluster, load.results)
+        assert list_bad(load.results[-8:]) == []
+
+    async def test_entry_serves_on_while_its_agent_is_dead(self, cluster):
+        load, tasks = await start_load(cluster, ROUNDS)
+        for instance in cluster.instances:
+            instance.agent.signal(SIGKILL)
+        await sleep(1.0)
+        begun = len(load.results)
+        await sleep(3.0)
+        await end_load(load, tasks)
+        late = load.results[begun:]
+        assert len(late) > 20
+        assert list_bad(late) == []
+
+    async def test_paused_home_that_wakes_runs_nothing_twice(self, cluster):
+        load, tasks = await start_load(cluster, BOOKING)
+        instance = cluster.instances[3]
+        instance.entry.signal(SIGSTOP)
+        await sleep(4.0)
+        instance.entry.signal(SIGCONT)
+        await sleep(2.0)
+        await end_load(load, tasks)
+        await check_single_runs(cluster, load.results)
+
+
+class TestStoreOutage:
+    async def test_requests_are_served_through_a_long_outage(self, cluster):
+        load, tasks = await start_load(cluster, ROUNDS)
+        await cluster.switch_store(outage=True)
+        await sleep(CONTACT_S)
+        status = await cluster.admin.read_status()
+        assert status["store"]["contact"] == "lost"
+        assert not status["store"]["keys_may_be_stale"]
+        await end_load(load, tasks)
+        assert list_bad(load.results) == []
+
+    async def test_instance_that_starts_during_it_gets_the_configuration(
+        self, cluster
+    ):
+        await cluster.switch_store(outage=True)
+        instance = cluster.instances[4]
+        for running in (instance.entry, instance.agent):
+            running.signal(SIGKILL)
+            await running.wait(5)
+        await cluster.start_agent(instance)
+        await cluster.start_entry(instance)
+        started = read_monotonic()
+        await wait_config(cluster, 1, [instance])
+        assert read_monotonic() - started <= IN_FORCE_S
+
+    async def test_kill_and_outage_at_once_double_nothing(self, cluster):
+        load, tasks = await start_load(cluster, BOOKING)
+        await cluster.switch_store(outage=True)
+        cluster.instances[0].entry.signal(SIGKILL)
+        await sleep(2.0)
+        await cluster.switch_store(outage=False)
+        await cluster.start_entry(cluster.instances[0])
+        await sleep(2.0)
+        await end_load(load, tasks)
+        await check_single_runs(cluster, load.results)
+
+
+class TestConfiguration:
+    async def test_racing_operators_lose_no_change(self, cluster):
+        text = cluster.rules.read_text(encoding="utf-8")
+        texts = [
+            text + f"workspace extra-{index} rate=1 burst=1 # ops\n"
+            for index in range(5)
+        ]
+        results = await gather(
+            *(
+                cluster.admin.apply(one, 1, f"writer-{index}")
+                for index, one in enumerate(texts)
+            ),
+            return_exceptions=True,
+        )
+        accepted = [one for one in results if isinstance(one, dict)]
+        assert len(accepted) == 1
+        assert accepted[0]["serial"] == 2
+        await wait_config(cluster, 2, cluster.instances)
+
+    async def test_lost_answer_applies_once(self, cluster):
+        text = cluster.rules.read_text(encoding="utf-8")
+        await cluster.switch_store(lose_answers=1)
+        changed = text + "workspace extra rate=1 burst=1 # ops\n"
+        after = await cluster.admin.apply(changed, 1, "writer")
+        again = await cluster.admin.apply(changed, 1, "writer")
+        assert after["serial"] == again["serial"] == 2
+        await wait_config(cluster, 2, cluster.instances)
+
+    async def test_refused_configuration_has_no_effect(self, cluster):
+        before = await cluster.admin.read_config()
+        try:
+            await cluster.admin.apply("nonsense\n", 1, "writer")
+        except Exception as error:
+            assert "line 1" in str(error)
+        else:
+            raise AssertionError("a faulty configuration was accepted")
+        assert await cluster.admin.read_config() == before
