Send drains under an address that the agent matches

Cause: the client quoted the colon of the server's address, and the agent matches the path as sent, so every drain was answered 405. Ruled out: the store (no write was made). Also: a recovery is logged by the agent that wrote it, not by all.

--- a/src/gypsummount/_agent/keeping.py
+++ b/src/gypsummount/_agent/keeping.py
@@ -86,7 +86,10 @@
             self._store, name_ledger_object(scope), change
         )
         self._state.note_contact()
-        self._state.take_ledger(read_ledger(scope, written.value), began)
+        ledger = read_ledger(scope, written.value)
+        if written.changed and known is not None:
+            _report_recovery(known.ledger, ledger)
+        self._state.take_ledger(ledger, began)
 
     async def _reread_after_pause(self, scope: str, read_at: float) -> None:
         paused = any(
@@ -188,11 +191,6 @@
             since = self._ghosts.get(_Ghost(ledger.scope, holder.name))
             if since is not None and now - since >= hold_s:
                 ledger.remove(holder.name)
-                _log.info(
-                    "Recovered the shares of %s in %s.",
-                    holder.place,
-                    ledger.scope,
-                )
 
     def _find_hold(self, scope: str) -> float:
         if scope != name_slots_scope(self._state.settings.domain):
@@ -202,3 +200,15 @@
             for service in self._state.rules.services.values()
         ]
         return max(timeouts, default=0.0) + SLOT_MARGIN_S
+
+
+def _report_recovery(before: Ledger, after: Ledger) -> None:
+    for holder in before.holders.values():
+        if holder.name in after.holders:
+            continue
+        if holder.state is not HolderState.ACTIVE:
+            _log.info(
+                "Recovered the shares of %s in %s.",
+                holder.place,
+                before.scope,
+            )
--- a/src/gypsummount/_cli/client.py
+++ b/src/gypsummount/_cli/client.py
@@ -12,6 +12,7 @@
 from gypsummount.errors import GypsummountError
 
 CALL_LIMIT_S = 10.0
+ADDRESS_SIGNS = ":[]"
 Json = dict[str, object]
 
 
@@ -85,7 +86,8 @@
     async def drain(self, server: str, *, restore: bool) -> Json:
         """Drain an upstream server, or restore it."""
         method = "DELETE" if restore else "PUT"
-        return await self._call(method, f"/v1/drains/{quote(server)}")
+        path = f"/v1/drains/{quote(server, safe=ADDRESS_SIGNS)}"
+        return await self._call(method, path)
 
     async def change_rollout(self, name: str, verb: str) -> Json:
         """Start a rollout or take it back."""
