--- a/src/gypsummount/_entry/process.py
+++ b/src/gypsummount/_entry/process.py
@@ -34,6 +34,7 @@
 from gypsummount._entry.link import AgentLink
 from gypsummount._entry.link import REPORT_PERIOD_S
 from gypsummount._entry.peers import PeerCalls
+from gypsummount._entry.selection import Selection
 from gypsummount._entry.service import EntryService
 from gypsummount._entry.snapshot import Snapshot
 from gypsummount._entry.steering import Steering
@@ -95,12 +96,16 @@
             settle=self._borrower.settle,
         )
         self._borrower.budgets = self.budgets
-        self.upstreams = Upstreams(self.snapshot, self.metrics, random)
+        self.selection = Selection(self.snapshot, random)
+        self._upstreams = Upstreams(
+            self.snapshot, self.selection, self.metrics
+        )
         self.versions = Versions(self.snapshot)
         self._steering = Steering(
             self.snapshot,
             self.budgets,
-            self.upstreams,
+            self.selection,
+            self._upstreams,
             self.versions,
             self._peers,
             settings.region,
@@ -155,7 +160,7 @@
         add_EntryPeerServicer_to_server(service, server)
         stack.callback(self.metrics.close)
         stack.push_async_callback(self._channels.close)
-        stack.callback(self.upstreams.close)
+        stack.callback(self.selection.close)
         stack.callback(self._borrower.close)
         await start_server(stack, server)
         self.front.listen(sockets)
@@ -239,7 +244,7 @@
             self._settings.listen,
             self._settings.peer_listen,
             self.phase,
-            self.upstreams.list_loads(),
+            self.selection.list_loads(),
             self.versions.list_evidence(),
         )
 
@@ -252,12 +257,12 @@
             self._life.fire("configured")
         for view in update.ledgers:
             self.budgets.take_ledger(view)
-        self.upstreams.follow(self.budgets.slots)
+        self.selection.follow(self.budgets.slots)
         self.versions.forget_past()
 
     async def _keep_up(self) -> None:
         self.budgets.advance()
-        self.upstreams.follow(self.budgets.slots)
+        self.selection.follow(self.budgets.slots)
         self._borrower.return_idle()
         addresses = {peer.entry.peer_address for peer in self.snapshot.peers}
         addresses.add(self._settings.agent)
--- a/src/gypsummount/_entry/steering.py
+++ b/src/gypsummount/_entry/steering.py
@@ -10,6 +10,7 @@
 from gypsummount._entry.peers import PeerCalls
 from gypsummount._entry.requests import find_answer_size
 from gypsummount._entry.requests import SteeredRequest
+from gypsummount._entry.selection import Selection
 from gypsummount._entry.snapshot import Peer
 from gypsummount._entry.snapshot import Snapshot
 from gypsummount._entry.upstreams import Upstreams
@@ -33,6 +34,7 @@
         self,
         snapshot: Snapshot,
         budgets: EntryBudgets,
+        selection: Selection,
         upstreams: Upstreams,
         versions: Versions,
         peers: PeerCalls,
@@ -40,6 +42,7 @@
     ) -> None:
         self._snapshot = snapshot
         self._budgets = budgets
+        self._selection = selection
         self._upstreams = upstreams
         self._versions = versions
         self._peers = peers
@@ -97,7 +100,7 @@
     ) -> StoredAnswer:
         service = request.route.service
         while True:
-            if self._upstreams.has_free(service, version):
+            if self._selection.has_free(service, version):
                 return await self._upstreams.run(
                     request, version, may_wait=may_wait
                 )
@@ -106,7 +109,7 @@
                 return answer
             if not may_wait:
                 break
-            if self._upstreams.has_version(service, version):
+            if self._selection.has_version(service, version):
                 return await self._upstreams.run(
                     request, version, may_wait=True
                 )
--- a/tools/prove.py
+++ b/tools/prove.py
@@ -175,7 +175,7 @@
     ),
     Removal(
         "work from elsewhere keeps to the headroom",
-        "_entry/upstreams.py",
+        "_entry/selection.py",
         "return not request.is_foreign or self._count_foreign(name) > 0",
         "return True",
         "tests/fleet/test_cuts.py::TestForwarding",
@@ -253,7 +253,7 @@
     Removal(
         "silent upstreams are hedged",
         "_entry/upstreams.py",
-        "if self._retries.saved < 1 or not self._allows(request, group):",
+        "if self._retries.saved < 1:",
         "if True:",
         f"{STEERING}::TestRepeatable",
     ),
