Find the handler of a watched object by its name's constant

Cause: names of objects stood as text beside their constants. Ruled out: nothing. Before and after: the end-to-end test passes. Conclusion: one place names each object.

--- a/src/gypsummount/_agent/watching.py
+++ b/src/gypsummount/_agent/watching.py
@@ -15,6 +15,7 @@
 from gypsummount._core.naming import CONFIG_OBJECT
 from gypsummount._core.naming import DRAINS_OBJECT
 from gypsummount._core.naming import KEYS_OBJECT
+from gypsummount._core.naming import LEDGER_PREFIX
 from gypsummount._core.naming import name_ledger_object
 from gypsummount._core.naming import ROLLOUTS_OBJECT
 from gypsummount._store.base import Store
@@ -25,7 +26,7 @@
 RETRY_HIGH_S = 0.9
 
 _log = get_logger("watch")
-Take = Callable[[bytes | None, float], None]
+Take = Callable[[bytes | None, float], object]
 
 
 class Watches:
@@ -88,18 +89,21 @@
 
     def _find_take(self, name: str) -> Take:
         state = self._state
-        match name:
-            case "config":
-                return lambda value, _: state.take_config(read_config(value))
-            case "keys":
-                return lambda value, _: state.take_keys(read_keys(value))
-            case "drains":
-                return lambda value, _: state.take_drains(read_drains(value))
-            case "rollouts":
-                return lambda value, _: state.take_rollouts(
-                    read_rollouts(value)
-                )
-        scope = name.removeprefix(name_ledger_object(""))
-        return lambda value, began: state.take_ledger(
-            read_ledger(scope, value), began
+        takes: dict[str, Take] = {
+            CONFIG_OBJECT: lambda value, _: state.take_config(
+                read_config(value)
+            ),
+            KEYS_OBJECT: lambda value, _: state.take_keys(read_keys(value)),
+            DRAINS_OBJECT: lambda value, _: state.take_drains(
+                read_drains(value)
+            ),
+            ROLLOUTS_OBJECT: lambda value, _: state.take_rollouts(
+                read_rollouts(value)
+            ),
+        }
+        scope = name.removeprefix(LEDGER_PREFIX)
+        return takes.get(name) or (
+            lambda value, began: state.take_ledger(
+                read_ledger(scope, value), began
+            )
         )
