Run the tests in three workers and keep their ports apart

Workers side by side would have been given the same ports: an address was handed out when its probe was closed again, so until its process had bound it another fleet could get it.

Change: handed-out ports stay bound, without listening, until the fleet ends; servers that reuse addresses listen beside the holder. Tests run by pytest-xdist in three workers.

Three workers leave cores to the fleets, each of which has 19 processes.

--- a/src/gypsummount/_demo/fleet.py
+++ b/src/gypsummount/_demo/fleet.py
@@ -7,7 +7,9 @@
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from dataclasses import field
+from socket import SO_REUSEADDR
 from socket import socket
+from socket import SOL_SOCKET
 
 from gypsummount._agent.operations import ApplyRequest
 from gypsummount._agent.process import AgentProcess
@@ -41,20 +43,29 @@
 
 
 class Ports:
-    """Hands out loopback addresses whose ports were free just now."""
+    """Hands out loopback addresses and keeps their ports from others.
+
+    Each port stays bound, without listening, until :meth:`close`, so no
+    other process is given it before its own process has bound it.
+    """
 
     def __init__(self) -> None:
-        self._used: set[int] = set()
+        self._held: list[socket] = []
 
     def take(self) -> str:
         """Return a free address."""
-        while True:
-            with socket() as probe:
-                probe.bind((LOOPBACK, 0))
-                port = probe.getsockname()[1]
-            if port not in self._used:
-                self._used.add(port)
-                return f"{LOOPBACK}:{port}"
+        holder = socket()
+        # Servers that reuse addresses can listen beside the holder.
+        holder.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+        holder.bind((LOOPBACK, 0))
+        self._held.append(holder)
+        return f"{LOOPBACK}:{holder.getsockname()[1]}"
+
+    def close(self) -> None:
+        """Release the ports."""
+        for holder in self._held:
+            holder.close()
+        self._held.clear()
 
 
 @dataclass(slots=True)
@@ -107,7 +118,8 @@
 async def start_fleet(
     stack: AsyncExitStack, rules_text: str, ports: Ports, seed: int
 ) -> Fleet:
-    """Start all roles; the stack stops them."""
+    """Start all roles; the stack stops them and releases the ports."""
+    stack.callback(ports.close)
     upstreams = build_upstreams(load_rules(rules_text), seed)
     fleet = Fleet(rules_text, StoreStandin(), PlatformStandin(1.0), upstreams)
     store, platform = ports.take(), ports.take()
--- a/tests/entry/lone.py
+++ b/tests/entry/lone.py
@@ -63,6 +63,7 @@
 
     async def start(self) -> None:
         ports = Ports()
+        self.stack.callback(ports.close)
         text = self.rules + self.policy
         for service in ("rondas", "reservas"):
             servers = ",".join(ports.take() for _ in range(self.servers))
--- a/tests/processes/cluster.py
+++ b/tests/processes/cluster.py
@@ -332,6 +332,7 @@
         for running in self.started:
             with suppress(WaitTimeout):
                 await running.wait(END_LIMIT_S)
+        self.ports.close()
 
     async def _start_links(self) -> None:
         for instance in self.instances:
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -7,6 +7,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 TEST_PREFIX = "test: "
+WORKERS = "3"
 
 
 def list_known_red() -> list[str]:
@@ -24,7 +25,8 @@
 def main() -> int:
     """Run pytest and return its exit code."""
     known = list_known_red()
-    command = [sys.executable, "-m", "pytest", *sys.argv[1:]]
+    spread = ["-n", WORKERS, "--dist", "worksteal"]
+    command = [sys.executable, "-m", "pytest", *spread, *sys.argv[1:]]
     for node in known:
         command += ["--deselect", node]
     code = subprocess.call(command, cwd=ROOT)
