Tell a change of phase to all peers at once

Rumours took longer than the 2 s that the drain allows beyond the look-ups: up to half a second for the next round, a few rounds of two peers, then up to half a second for the push to an entry. The removal of a push after each round, tried in this change to save processor time, added to the last part.

Ruled out: an agent that ends before its entry (it waits for it), and a request cut under way (every failed one was refused by another entry, which did not know the home any more).

Change: in the round after its phases change an agent tells 32 peers in place of 2; a peer that hears of it wakes its entries, as for vetoes. Bad results now show the refusal's text.

In prove.py both parts fail their tests when switched off; the first test held by chance until it let just one agent run its round.

Also in this commit, measured together: settled ledgers aren't worked out again and records that a peer has aren't copied.

tests/store: a lost answer whose value another writer has written over can't be told from one that took no effect, and update_object says so by StoreUnavailable. The test of six writers expected no error and failed once in a loaded run; it now allows as many unknown results as answers were lost, still wants every letter exactly once, and a new test fixes the order of events and the repeat.

tests/core/test_shares.py: a third state machine changes the budget; it passes, and fails when a lowered budget doesn't wait for confirmations.

A busy machine can still be slower than the margin; the drain isn't prolonged by late requests.

--- a/src/gypsummount/_agent/gossip.py
+++ b/src/gypsummount/_agent/gossip.py
@@ -17,11 +17,14 @@
 from gypsummount._common.wire import unpack_beat
 from gypsummount._common.wire import unpack_key
 from gypsummount._common.wire import unpack_member
+from gypsummount._core.membership import list_phases
+from gypsummount._core.membership import Phases
 from gypsummount._core.membership import RecordVersion
 from gypsummount._proto import peer_pb2
 from gypsummount._proto.peer_pb2_grpc import AgentStub
 
 PEERS_A_ROUND = 2
+PEERS_ON_CHANGE = 32
 GOSSIP_PERIOD_S = 0.5
 
 _log = get_logger("gossip")
@@ -37,17 +40,29 @@
         self._channels = channels
         self._random = random
         self._versions: dict[str, dict[str, RecordVersion]] = {}
+        self._told: Phases | None = None
 
     async def run_round(self) -> None:
         """Exchange with a few peers and forget old members."""
         self._state.refresh_own()
         self._state.members.forget_old(read_monotonic())
         addresses = self._list_addresses()
-        count = min(PEERS_A_ROUND, len(addresses))
+        count = min(self._count_peers(), len(addresses))
         chosen = self._random.sample(addresses, count)
         await gather(*(self._exchange(address) for address in chosen))
         await self._channels.close_unused(set(addresses))
-        self._state.notify()
+
+    def _count_peers(self) -> int:
+        """Return how many peers to tell; a change of phase is urgent.
+
+        Look-ups must leave out an entry that leaves well before it
+        stops, so its agent does not wait for rumours to spread.
+        """
+        phases = list_phases(self._state.members.own)
+        if phases == self._told:
+            return PEERS_A_ROUND
+        self._told = phases
+        return PEERS_ON_CHANGE
 
     def answer(self, digest: peer_pb2.Digest) -> peer_pb2.Digest:
         """Merge a peer's digest and return what the peer lacks."""
@@ -75,10 +90,10 @@
         self._versions[digest.sender] = {
             beat.instance: beat.version for beat in beats
         }
-        before = table.collect_vetoes()
+        before = table.collect_urgent()
         table.merge([unpack_member(one) for one in digest.members], now)
         table.merge_beats(beats, now)
-        if table.collect_vetoes() != before:
+        if table.collect_urgent() != before:
             self._state.notify()
 
     async def _exchange(self, address: str) -> None:
--- a/src/gypsummount/_agent/keeping.py
+++ b/src/gypsummount/_agent/keeping.py
@@ -38,6 +38,23 @@
     holder: str
 
 
+@dataclass(slots=True, frozen=True)
+class _EntryStanding:
+    holder: str
+    phase: str
+    is_fresh: bool
+    retired: bool
+
+
+@dataclass(slots=True, frozen=True)
+class _Basis:
+    """All that a ledger's next state depends on, when no time runs."""
+
+    seq: int
+    config_serial: int
+    entries: tuple[_EntryStanding, ...]
+
+
 class LedgerKeeper:
     """Reconciles the ledgers in which this instance takes part.
 
@@ -48,6 +65,7 @@
         self._state = state
         self._store = store
         self._ghosts: dict[_Ghost, float] = {}
+        self._settled: dict[str, _Basis] = {}
 
     def list_scopes(self) -> list[str]:
         """Return the scopes of this instance's ledgers."""
@@ -73,7 +91,7 @@
         known = self._state.ledgers.get(scope)
         if known is not None:
             self._note_ghosts(known.ledger)
-            if self._build_next(known.ledger) is None:
+            if self._is_settled(known.ledger):
                 await self._reread_after_pause(scope, known.read_at)
                 return
         began = read_monotonic()
@@ -104,6 +122,35 @@
             self._state.note_contact()
             self._state.take_ledger(read_ledger(scope, found.value), began)
 
+    def _is_settled(self, ledger: Ledger) -> bool:
+        """Tell whether nothing is due; unchanged grounds are not redone."""
+        basis = self._find_basis(ledger)
+        if basis is not None and self._settled.get(ledger.scope) == basis:
+            return True
+        if self._build_next(ledger) is not None:
+            return False
+        if basis is not None:
+            self._settled[ledger.scope] = basis
+        return True
+
+    def _find_basis(self, ledger: Ledger) -> _Basis | None:
+        """Return the grounds of a decision, or None while time counts."""
+        entries = self._state.entries.values()
+        confirms = any(entry.report.confirmations for entry in entries)
+        if confirms or self._state.gone_since or self._ghosts:
+            return None
+        fresh = {entry.holder for entry in self._state.list_fresh_entries()}
+        standings = tuple(
+            _EntryStanding(
+                entry.holder,
+                entry.report.entry.phase,
+                entry.holder in fresh,
+                entry.report.retired,
+            )
+            for entry in entries
+        )
+        return _Basis(ledger.seq, self._state.config.serial, standings)
+
     def _build_next(self, ledger: Ledger) -> Ledger | None:
         following = ledger.copy()
         self._take_totals(following)
--- a/src/gypsummount/_core/membership.py
+++ b/src/gypsummount/_core/membership.py
@@ -97,6 +97,29 @@
         return self.started, self.beat
 
 
+@dataclass(slots=True, frozen=True)
+class Phases:
+    """The phases of an agent and its entries."""
+
+    incarnation: str
+    agent: str
+    entries: tuple[str, ...]
+
+
+def list_phases(member: Member) -> Phases:
+    """Return the phases that a member's record tells."""
+    entries = tuple(f"{one.name} {one.phase}" for one in member.entries)
+    return Phases(member.incarnation, member.phase, entries)
+
+
+@dataclass(slots=True, frozen=True)
+class UrgentNews:
+    """What the entries must hear of at once."""
+
+    vetoes: frozenset[Veto]
+    phases: frozenset[Phases]
+
+
 @dataclass(slots=True)
 class _Seen:
     member: Member
@@ -150,35 +173,21 @@
 
     def list_beats(self, now: float) -> list[Beat]:
         """Return a beat for each record that could be sent."""
-        return [
-            Beat(
-                member.instance,
-                member.version,
-                member.beat,
-                member.store_age_s,
-            )
-            for member in self.list_digest(now)
-        ]
+        beats = [_build_beat(self.own, 0.0)]
+        for seen in self._list_recent(now):
+            beats.append(_build_beat(seen.member, now - seen.at))
+        return beats
 
     def list_newer(
         self, versions: dict[str, RecordVersion], now: float
     ) -> list[Member]:
         """Return the records that a peer with these versions lacks."""
-        return [
-            member
-            for member in self.list_digest(now)
-            if member.version > versions.get(member.instance, UNKNOWN_VERSION)
-        ]
-
-    def list_digest(self, now: float) -> list[Member]:
-        """Return all records to send, with the store ages moved on."""
-        digest = [self.own]
-        for seen in self._seen.values():
-            if now - seen.at > FORGET_S:
-                continue
-            age_s = seen.member.store_age_s + now - seen.at
-            digest.append(replace(seen.member, store_age_s=age_s))
-        return digest
+        newer = [self.own] if _is_newer(self.own, versions) else []
+        for seen in self._list_recent(now):
+            if _is_newer(seen.member, versions):
+                age_s = seen.member.store_age_s + now - seen.at
+                newer.append(replace(seen.member, store_age_s=age_s))
+        return newer
 
     def list_alive(self, now: float) -> list[Member]:
         """Return the own record and all with a recent beat."""
@@ -213,8 +222,34 @@
             vetoes.update(seen.member.vetoes)
         return vetoes
 
+    def _list_recent(self, now: float) -> list[_Seen]:
+        return [
+            seen for seen in self._seen.values() if now - seen.at <= FORGET_S
+        ]
+
+    def collect_urgent(self) -> UrgentNews:
+        """Return the part of all records that must not wait."""
+        phases = {list_phases(seen.member) for seen in self._seen.values()}
+        vetoes = frozenset(self.collect_vetoes())
+        return UrgentNews(vetoes, frozenset(phases))
+
     def forget_old(self, now: float) -> None:
         """Drop records without a beat for :data:`FORGET_S`."""
         for instance, seen in list(self._seen.items()):
             if now - seen.at > FORGET_S:
                 del self._seen[instance]
+
+
+def _build_beat(member: Member, passed_s: float) -> Beat:
+    """Return a member's beat with the store age moved on."""
+    return Beat(
+        member.instance,
+        member.version,
+        member.beat,
+        member.store_age_s + passed_s,
+    )
+
+
+def _is_newer(member: Member, versions: dict[str, RecordVersion]) -> bool:
+    known = versions.get(member.instance, UNKNOWN_VERSION)
+    return member.version > known
--- a/tests/agent/test_gossip.py
+++ b/tests/agent/test_gossip.py
@@ -7,7 +7,6 @@
 
 from gypsummount._agent.gossip import Gossip
 from gypsummount._agent.gossip import GOSSIP_PERIOD_S
-from gypsummount._agent.gossip import PEERS_A_ROUND
 from gypsummount._agent.state import AgentSettings
 from gypsummount._agent.state import AgentState
 from gypsummount._common.rpc import Channels
@@ -54,11 +53,14 @@
 
     def run_round(self, **faults):
         for gossip in self.gossips:
-            gossip._state.refresh_own()
-        for gossip in self.gossips:
-            others = [one for one in self.gossips if one is not gossip]
-            for peer in self.random.sample(others, PEERS_A_ROUND):
-                self.exchange(gossip, peer, **faults)
+            self.run_round_of(gossip, **faults)
+
+    def run_round_of(self, gossip, **faults):
+        gossip._state.refresh_own()
+        others = [one for one in self.gossips if one is not gossip]
+        count = min(gossip._count_peers(), len(others))
+        for peer in self.random.sample(others, count):
+            self.exchange(gossip, peer, **faults)
 
     def list_seen(self, instance):
         return [
@@ -91,6 +93,14 @@
         for gossip in agents.gossips:
             assert gossip._state.list_vetoes() == {veto}
 
+    def test_change_of_phase_is_told_to_all_at_once(self, agents):
+        waiting = [one._state.changed for one in agents.gossips[1:]]
+        agents.gossips[0]._state.phase = "leaving"
+        agents.run_round_of(agents.gossips[0])
+        seen = agents.list_seen("instance-0")
+        assert [one.phase for one in seen] == ["leaving"] * (FLEET - 1)
+        assert all(changed.is_set() for changed in waiting)
+
     def test_lost_answers_only_delay_a_change(self, agents):
         veto = Veto("move", 1, "bad")
         agents.gossips[0]._state.add_veto(veto)
--- a/tests/core/budget_model.py
+++ b/tests/core/budget_model.py
@@ -200,20 +200,26 @@
     def list_alive(self) -> list[Process]:
         return [one for one in self.processes.values() if one.is_alive]
 
+    def find_limit(self) -> Amount:
+        """Return the budget, or what is granted while that is more."""
+        granted = self.ledger.budgets[BUDGET].granted
+        return Amount(
+            max(self.total.rate, granted.rate),
+            max(self.total.burst, granted.burst),
+        )
+
     def check_sums(self) -> None:
         """Fail if the holders can use more than the budget together."""
         for process in self.list_alive():
             process.advance(self.now)
         shares = [process.share for process in self.list_alive()]
-        granted = self.ledger.budgets[BUDGET].granted
-        limit_rate = max(self.total.rate, granted.rate)
-        limit_burst = max(self.total.burst, granted.burst)
+        limit = self.find_limit()
         rate = sum(share.usable.rate for share in shares)
         burst = sum(share.usable.burst for share in shares)
         level = sum(share.level for share in shares)
-        assert rate <= limit_rate + TOLERANCE
-        assert burst <= limit_burst + TOLERANCE
-        assert level <= limit_burst + TOLERANCE
+        assert rate <= limit.rate + TOLERANCE
+        assert burst <= limit.burst + TOLERANCE
+        assert level <= limit.burst + TOLERANCE
 
     def _take_view(self, process: Process, view: LedgerView) -> None:
         process.advance(self.now)
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -75,8 +75,9 @@
         table.own = replace(table.own, store_age_s=100.0)
         table.merge([create_member("b", store_age_s=1.0)], 0.0)
         assert table.find_store_age(4.0) == pytest.approx(5.0)
-        digest = table.list_digest(4.0)
-        assert digest[1].store_age_s == pytest.approx(5.0)
+        for told in (table.list_newer({}, 4.0), table.list_beats(4.0)):
+            assert [one.instance for one in told] == ["own", "b"]
+            assert told[1].store_age_s == pytest.approx(5.0)
 
     def test_vetoes_of_silent_members_still_count(self):
         table = self.create_table()
--- a/tests/core/test_shares.py
+++ b/tests/core/test_shares.py
@@ -21,6 +21,11 @@
 
 RATE = 40.0
 BURST = 20.0
+TOTALS = (
+    Amount(RATE, BURST),
+    Amount(RATE / 4, BURST / 4),
+    Amount(RATE * 2, BURST * 2),
+)
 PLACES = ("a", "b", "c", "d")
 INDEX = strategies.integers(min_value=0, max_value=10_000)
 
@@ -136,6 +141,23 @@
         process.is_alive = True
 
 
+class ChangedFleet(FaultyFleet):
+    """The same while operators change the budget.
+
+    A lowered budget holds once the holders have confirmed their parts;
+    until then the sum of what the ledger grants is the limit.
+    """
+
+    @rule(total=strategies.sampled_from(TOTALS))
+    def change_total(self, total: Amount) -> None:
+        self.model.set_total(total)
+
+    @invariant()
+    def follow_limit(self) -> None:
+        limit = self.model.find_limit()
+        self.central.set_total(limit, self.model.now)
+
+
 SETTINGS = settings(
     max_examples=120,
     stateful_step_count=50,
@@ -144,8 +166,10 @@
 )
 LendingFleet.TestCase.settings = SETTINGS
 FaultyFleet.TestCase.settings = SETTINGS
+ChangedFleet.TestCase.settings = SETTINGS
 TestLendingFleet = LendingFleet.TestCase
 TestFaultyFleet = FaultyFleet.TestCase
+TestChangedFleet = ChangedFleet.TestCase
 
 
 def create_share(owned: Amount, holder: str = "h") -> RateShare:
--- a/tests/processes/load.py
+++ b/tests/processes/load.py
@@ -65,7 +65,11 @@
 
 
 def list_bad(results):
-    return [f"{one.status} {one.code}" for one in results if not one.is_good]
+    return [
+        f"{one.status} {one.code} {one.body!r}"
+        for one in results
+        if not one.is_good
+    ]
 
 
 async def wait_config(cluster, serial, instances):
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -14,6 +14,7 @@
 from gypsummount._store.http import HttpStore
 from gypsummount._store.memory import MemoryStore
 from gypsummount._store.updates import update_object
+from gypsummount._store.updates import Written
 from gypsummount.errors import StoreConflict
 from gypsummount.errors import StoreError
 from gypsummount.errors import StoreUnavailable
@@ -41,6 +42,25 @@
     return MemoryStore()
 
 
+class OverwrittenStore(MemoryStore):
+    """Loses the answer of a create, which another writer writes over."""
+
+    async def create(self, name, value):
+        version = await super().create(name, value)
+        await self.replace(name, value + b"y", version)
+        raise StoreUnavailable("the answer was lost")
+
+
+def add_once(letter):
+    """Return a change that appends a letter unless it is there."""
+
+    def change(value):
+        value = value or b""
+        return None if letter in value else value + letter
+
+    return change
+
+
 class TestContract:
     async def test_absent_object_is_none(self, store):
         assert await store.get("a") is None
@@ -108,24 +128,29 @@
         assert written.changed
         assert store.counts.writes == 1
 
-    async def test_lost_answer_and_another_writer_apply_both(self, standin):
+    async def test_lost_answers_among_writers_lose_and_double_nothing(
+        self, standin
+    ):
         store, adapter = standin
-
-        def add(letter):
-            def change(value):
-                value = value or b""
-                return None if letter in value else value + letter
-
-            return change
-
         store.switches.lose_answers = 3
         letters = [bytes([letter]) for letter in b"abcdef"]
-        await gather(
-            *(update_object(adapter, "a", add(one)) for one in letters)
+        results = await gather(
+            *(update_object(adapter, "a", add_once(one)) for one in letters),
+            return_exceptions=True,
         )
+        unknown = [one for one in results if not isinstance(one, Written)]
+        assert len(unknown) <= 3
+        assert all(isinstance(one, StoreUnavailable) for one in unknown)
         value = (await adapter.get("a")).value
         assert sorted(value) == sorted(b"abcdef")
 
+    async def test_lost_answer_that_another_wrote_over_is_unknown(self):
+        store = OverwrittenStore()
+        with pytest.raises(StoreUnavailable):
+            await update_object(store, "a", add_once(b"x"))
+        again = await update_object(store, "a", add_once(b"x"))
+        assert again == Written(b"xy", changed=False)
+
     async def test_value_over_the_limit_is_refused(self, standin):
         with pytest.raises(StoreError, match="under 1000000"):
             await standin[1].create("a", b"x" * 1_000_001)
--- a/tools/prove.py
+++ b/tools/prove.py
@@ -76,6 +76,14 @@
         "if lent is None:",
         f"{SHARES}::TestLending",
     ),
+    Removal(
+        "a lowered budget waits for the confirmations",
+        "_core/ledger.py",
+        "account.set_target(part, seq)\n",
+        "account.set_target(part, seq)\n"
+        "        account.set_granted(part, seq)\n",
+        f"{SHARES}::TestChangedFleet",
+    ),
     Removal(
         "old confirmations are ignored",
         "_core/ledger.py",
@@ -301,6 +309,20 @@
         "if False:",
         "tests/processes/test_failures.py::TestStoreOutage",
     ),
+    Removal(
+        "a change of phase is told to all at once",
+        "_agent/gossip.py",
+        "return PEERS_ON_CHANGE",
+        "return PEERS_A_ROUND",
+        "tests/agent",
+    ),
+    Removal(
+        "a peer's change of phase wakes the entries",
+        "_core/membership.py",
+        "return UrgentNews(vetoes, frozenset(phases))",
+        "return UrgentNews(vetoes, frozenset())",
+        "tests/agent",
+    ),
     Removal(
         "an apply names the serial it was made from",
         "_agent/operations.py",
