Keep a holder's loans in a module of their own

Change: LoanBook holds what is lent, borrowed and asked for; a return with its lender is a typed message. No behaviour changes.

--- a/benchmarks/test_decisions.py
+++ b/benchmarks/test_decisions.py
@@ -197,8 +197,8 @@
                 request = borrower.build_request("l", 1.0, 1.0)
                 loan = lender.lend(request, 1.0)
                 borrower.accept(loan, 1.0)
-                for _, message in borrower.return_spent(1.0):
-                    lender.take_back(message, 1.0)
+                for one in borrower.return_spent(1.0):
+                    lender.take_back(one.message, 1.0)
 
             return transfer
 
--- /dev/null
+++ b/src/gypsummount/_core/loanbooks.py
@@ -0,0 +1,117 @@
+"""The loans that one holder has open, on either side."""
+
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+from math import inf
+
+from gypsummount._core.amounts import add_amounts
+from gypsummount._core.amounts import Amount
+from gypsummount._core.loans import BorrowRequest
+from gypsummount._core.loans import Loan
+
+REQUEST_LIMIT_S = 1.0
+
+
+class LoanState(Enum):
+    """Where a loan stands at the lender."""
+
+    OPEN = "open"
+    CLOSED = "closed"
+
+
+@dataclass(slots=True)
+class Lent:
+    """A loan at its lender; ``ends_at`` is in monotonic seconds.
+
+    It is onward when it passes on what was borrowed.
+    """
+
+    loan: Loan
+    ends_at: float
+    is_onward: bool = False
+    state: LoanState = LoanState.OPEN
+
+
+@dataclass(slots=True)
+class Borrowed:
+    """A loan at its borrower; ``ends_at`` is in monotonic seconds."""
+
+    loan: Loan
+    lender: str
+    ends_at: float
+
+
+@dataclass(slots=True)
+class Pending:
+    """A request that no loan has answered yet."""
+
+    request: BorrowRequest
+    lender: str
+    sent_at: float
+
+
+@dataclass(slots=True)
+class LoanBook:
+    """Loans and requests by the id of the loan."""
+
+    lent: dict[str, Lent] = field(default_factory=dict)
+    borrowed: dict[str, Borrowed] = field(default_factory=dict)
+    pending: dict[str, Pending] = field(default_factory=dict)
+
+    def add_lent(self, *, onward: bool) -> Amount:
+        """Return the sum of the open loans of one kind."""
+        return add_amounts(
+            [
+                lent.loan.amount
+                for lent in self.lent.values()
+                if lent.state is LoanState.OPEN and lent.is_onward == onward
+            ]
+        )
+
+    def add_borrowed(self) -> Amount:
+        """Return the sum of what is borrowed."""
+        return add_amounts(
+            [borrowed.loan.amount for borrowed in self.borrowed.values()]
+        )
+
+    def find_lasting_burst(self, until: float) -> float:
+        """Return the burst borrowed until a time (s) or longer."""
+        return sum(
+            borrowed.loan.amount.burst
+            for borrowed in self.borrowed.values()
+            if borrowed.ends_at >= until
+        )
+
+    def find_next_end(self) -> float:
+        """Return when the next loan ends (s), infinity if none does."""
+        due = inf
+        for lent in self.lent.values():
+            due = min(due, lent.ends_at)
+        for borrowed in self.borrowed.values():
+            due = min(due, borrowed.ends_at)
+        return due
+
+    def end_loans(self, due: float) -> None:
+        """Drop the loans that have ended by a time (s)."""
+        self.lent = {
+            loan_id: lent
+            for loan_id, lent in self.lent.items()
+            if lent.ends_at > due
+        }
+        self.borrowed = {
+            loan_id: borrowed
+            for loan_id, borrowed in self.borrowed.items()
+            if borrowed.ends_at > due
+        }
+
+    def drop_stale_requests(self, now: float) -> None:
+        """Forget requests older than :data:`REQUEST_LIMIT_S`."""
+        for loan_id, pending in list(self.pending.items()):
+            if now - pending.sent_at > REQUEST_LIMIT_S:
+                del self.pending[loan_id]
+
+    def forget_borrowed(self) -> None:
+        """Forget what was borrowed and asked for, after a pause."""
+        self.borrowed.clear()
+        self.pending.clear()
--- a/src/gypsummount/_core/loans.py
+++ b/src/gypsummount/_core/loans.py
@@ -50,6 +50,14 @@
     tokens: float
 
 
+@dataclass(slots=True, frozen=True)
+class ReturnToLender:
+    """A return and the lender that it goes to."""
+
+    lender: str
+    message: LoanReturn
+
+
 def find_lender_wait(duration_s: float) -> float:
     """Return how long a lender waits for a loan, in seconds."""
     return duration_s * (1 + CLOCK_DRIFT) + LOAN_MARGIN_S
--- a/src/gypsummount/_core/shares.py
+++ b/src/gypsummount/_core/shares.py
@@ -6,20 +6,23 @@
 at most ``rate * W + burst``.
 """
 
-from dataclasses import dataclass
-from enum import Enum
 from math import inf
 
-from gypsummount._core.amounts import add_amounts
 from gypsummount._core.amounts import Amount
 from gypsummount._core.amounts import EPSILON
 from gypsummount._core.amounts import ZERO
 from gypsummount._core.demand import Demand
+from gypsummount._core.loanbooks import Borrowed
+from gypsummount._core.loanbooks import Lent
+from gypsummount._core.loanbooks import LoanBook
+from gypsummount._core.loanbooks import LoanState
+from gypsummount._core.loanbooks import Pending
 from gypsummount._core.loans import BorrowRequest
 from gypsummount._core.loans import find_lender_wait
 from gypsummount._core.loans import Loan
 from gypsummount._core.loans import LOAN_S
 from gypsummount._core.loans import LoanReturn
+from gypsummount._core.loans import ReturnToLender
 from gypsummount._core.loans import TOKEN_LOAN_S
 
 DEMAND_HEADROOM = 1.1
@@ -28,40 +31,10 @@
 LEAST_RATE_DEMAND = 4.0
 LEAST_LOAN = 0.05
 RATE_SLACK = 0.1
-REQUEST_LIMIT_S = 1.0
 RETURN_HEADROOM = 1.5
 PAUSE_LIMIT_S = 10.0
 
 
-class LoanState(Enum):
-    """Where a loan stands at the lender."""
-
-    OPEN = "open"
-    CLOSED = "closed"
-
-
-@dataclass(slots=True)
-class _Lent:
-    loan: Loan
-    ends_at: float
-    is_onward: bool = False
-    state: LoanState = LoanState.OPEN
-
-
-@dataclass(slots=True)
-class _Borrowed:
-    loan: Loan
-    lender: str
-    ends_at: float
-
-
-@dataclass(slots=True)
-class _Pending:
-    request: BorrowRequest
-    lender: str
-    sent_at: float
-
-
 class RateShare:
     """One holder's share of one budget; all times are monotonic seconds.
 
@@ -71,14 +44,12 @@
     """
 
     __slots__ = (
-        "_borrowed",
+        "_book",
         "_counter",
         "_demand",
         "_holder",
-        "_lent",
         "_level",
         "_owned",
-        "_pending",
         "_seen_at",
         "_suspended",
         "_updated_at",
@@ -95,9 +66,7 @@
         self._updated_at = now
         self._seen_at = now
         self._suspended = False
-        self._lent: dict[str, _Lent] = {}
-        self._borrowed: dict[str, _Borrowed] = {}
-        self._pending: dict[str, _Pending] = {}
+        self._book = LoanBook()
         self._counter = 0
         self._demand = Demand(now)
 
@@ -119,7 +88,7 @@
     @property
     def lent(self) -> Amount:
         """Return the sum of the open loans of what is owned."""
-        return self._add_lent(onward=False)
+        return self._book.add_lent(onward=False)
 
     @property
     def is_suspended(self) -> bool:
@@ -143,11 +112,12 @@
             self._suspend()
         self._seen_at = max(self._seen_at, now)
         while True:
-            due = self._find_next_end()
+            due = self._book.find_next_end()
             if due > now:
                 break
             self._accrue(due)
-            self._end_loans(due)
+            self._book.end_loans(due)
+            self._recompute()
         self._accrue(now)
 
     def try_spend(self, now: float, count: float = 1.0) -> bool:
@@ -196,19 +166,19 @@
 
         The burst of what is wanted stands for tokens.
         """
-        self._drop_stale_requests(now)
+        self._book.drop_stale_requests(now)
         wanted = self.find_need(now, waiting)
-        if self._pending or wanted.is_zero:
+        if self._book.pending or wanted.is_zero:
             return None
         self._counter += 1
         loan_id = f"{self._holder}#{self._counter}"
         request = BorrowRequest(loan_id, self.budget, wanted, waiting > 0)
-        self._pending[loan_id] = _Pending(request, lender, now)
+        self._book.pending[loan_id] = Pending(request, lender, now)
         return request
 
     def cancel_request(self, loan_id: str) -> None:
         """Forget a request whose answer will not be taken any more."""
-        self._pending.pop(loan_id, None)
+        self._book.pending.pop(loan_id, None)
 
     def lend(
         self, request: BorrowRequest, now: float, waiting: float = 0.0
@@ -218,7 +188,7 @@
         ``waiting`` counts the own units that wait for tokens.
         """
         self.advance(now)
-        known = self._lent.get(request.loan_id)
+        known = self._book.lent.get(request.loan_id)
         if known is not None:
             return known.loan if known.state is LoanState.OPEN else None
         if self._suspended:
@@ -232,7 +202,7 @@
         if max(loan.amount.rate, loan.tokens) < LEAST_LOAN:
             return None
         ends_at = now + find_lender_wait(loan.duration_s)
-        self._lent[loan.loan_id] = _Lent(loan, ends_at, is_onward)
+        self._book.lent[loan.loan_id] = Lent(loan, ends_at, is_onward)
         self._level -= loan.tokens
         self._recompute()
         return loan
@@ -240,59 +210,61 @@
     def accept(self, loan: Loan, now: float) -> bool:
         """Credit a loan once, if its request is still pending."""
         self.advance(now)
-        pending = self._pending.pop(loan.loan_id, None)
+        pending = self._book.pending.pop(loan.loan_id, None)
         if pending is None or self._suspended:
             return False
         ends_at = pending.sent_at + loan.duration_s
         if ends_at <= now:
             return False
-        self._borrowed[loan.loan_id] = _Borrowed(loan, pending.lender, ends_at)
+        self._book.borrowed[loan.loan_id] = Borrowed(
+            loan, pending.lender, ends_at
+        )
         self._recompute()
         self._level = min(self._usable.burst, self._level + loan.tokens)
         return True
 
-    def return_idle(self, now: float) -> list[tuple[str, LoanReturn]]:
+    def return_idle(self, now: float) -> list[ReturnToLender]:
         """Debit loans that the demand no longer needs, by lender."""
         self.advance(now)
         kept = self._demand.estimate(now) * RETURN_HEADROOM
-        returned: list[tuple[str, LoanReturn]] = []
-        if not self._add_lent(onward=True).is_zero:
+        returned: list[ReturnToLender] = []
+        if not self._book.add_lent(onward=True).is_zero:
             return returned
-        for loan_id, borrowed in list(self._borrowed.items()):
+        for loan_id, borrowed in list(self._book.borrowed.items()):
             rest = self._usable.rate - borrowed.loan.amount.rate
             if kept > rest:
                 continue
             returned.append(self._return(loan_id, borrowed))
         return returned
 
-    def return_spent(self, now: float) -> list[tuple[str, LoanReturn]]:
+    def return_spent(self, now: float) -> list[ReturnToLender]:
         """Debit the loans of tokens alone once the tokens are spent.
 
         The lender cannot gather new tokens under a burst that is lent.
         """
         self.advance(now)
-        if self._level >= 1 or not self._add_lent(onward=True).is_zero:
+        if self._level >= 1 or not self._book.add_lent(onward=True).is_zero:
             return []
         return [
             self._return(loan_id, borrowed)
-            for loan_id, borrowed in list(self._borrowed.items())
+            for loan_id, borrowed in list(self._book.borrowed.items())
             if borrowed.loan.amount.rate <= EPSILON
         ]
 
-    def return_all(self, now: float) -> list[tuple[str, LoanReturn]]:
+    def return_all(self, now: float) -> list[ReturnToLender]:
         """Debit every borrowed part, for a planned stop."""
         self.advance(now)
-        if not self._add_lent(onward=True).is_zero:
+        if not self._book.add_lent(onward=True).is_zero:
             return []
         return [
             self._return(loan_id, borrowed)
-            for loan_id, borrowed in list(self._borrowed.items())
+            for loan_id, borrowed in list(self._book.borrowed.items())
         ]
 
     def take_back(self, message: LoanReturn, now: float) -> bool:
         """Credit a returned loan once."""
         self.advance(now)
-        lent = self._lent.get(message.loan_id)
+        lent = self._book.lent.get(message.loan_id)
         if lent is None or lent.state is LoanState.CLOSED:
             return False
         lent.state = LoanState.CLOSED
@@ -301,17 +273,15 @@
         self._level = min(self._usable.burst, self._level + tokens)
         return True
 
-    def _return(
-        self, loan_id: str, borrowed: _Borrowed
-    ) -> tuple[str, LoanReturn]:
-        del self._borrowed[loan_id]
+    def _return(self, loan_id: str, borrowed: Borrowed) -> ReturnToLender:
+        del self._book.borrowed[loan_id]
         before = self._level
         part = self._find_part(borrowed.loan.amount)
         tokens = min(before * part, borrowed.loan.amount.burst)
         self._level = before - tokens
         self._recompute()
         message = LoanReturn(loan_id, self.budget, tokens)
-        return borrowed.lender, message
+        return ReturnToLender(borrowed.lender, message)
 
     def _find_part(self, amount: Amount) -> float:
         if self._usable.burst <= EPSILON:
@@ -359,37 +329,18 @@
         two holders.
         """
         until = now + find_lender_wait(TOKEN_LOAN_S)
-        lasting = sum(
-            borrowed.loan.amount.burst
-            for borrowed in self._borrowed.values()
-            if borrowed.ends_at >= until
-        )
-        covered = max(0.0, lasting - self._add_lent(onward=True).burst)
+        lasting = self._book.find_lasting_burst(until)
+        covered = max(0.0, lasting - self._book.add_lent(onward=True).burst)
         tokens = min(spare, covered)
         amount = Amount(0.0, tokens)
         return Loan(request.loan_id, self.budget, amount, tokens, TOKEN_LOAN_S)
 
-    def _add_lent(self, *, onward: bool) -> Amount:
-        return add_amounts(
-            [
-                lent.loan.amount
-                for lent in self._lent.values()
-                if lent.state is LoanState.OPEN and lent.is_onward == onward
-            ]
-        )
-
     def _suspend(self) -> None:
         self._suspended = True
-        self._borrowed.clear()
-        self._pending.clear()
+        self._book.forget_borrowed()
         self._level = 0.0
         self._recompute()
 
-    def _drop_stale_requests(self, now: float) -> None:
-        for loan_id, pending in list(self._pending.items()):
-            if now - pending.sent_at > REQUEST_LIMIT_S:
-                del self._pending[loan_id]
-
     def _accrue(self, until: float) -> None:
         passed = until - self._updated_at
         if passed <= 0:
@@ -398,34 +349,11 @@
         self._level = min(self._usable.burst, self._level + gained)
         self._updated_at = until
 
-    def _find_next_end(self) -> float:
-        due = inf
-        for lent in self._lent.values():
-            due = min(due, lent.ends_at)
-        for borrowed in self._borrowed.values():
-            due = min(due, borrowed.ends_at)
-        return due
-
-    def _end_loans(self, due: float) -> None:
-        self._lent = {
-            loan_id: lent
-            for loan_id, lent in self._lent.items()
-            if lent.ends_at > due
-        }
-        self._borrowed = {
-            loan_id: borrowed
-            for loan_id, borrowed in self._borrowed.items()
-            if borrowed.ends_at > due
-        }
-        self._recompute()
-
     def _recompute(self) -> None:
-        borrowed = add_amounts(
-            [entry.loan.amount for entry in self._borrowed.values()]
-        )
+        borrowed = self._book.add_borrowed()
         own = (self._owned - self.lent).clip()
         if self._suspended:
             own = ZERO
-        onward = self._add_lent(onward=True)
+        onward = self._book.add_lent(onward=True)
         self._usable = own + (borrowed - onward).clip()
         self._level = min(self._level, self._usable.burst)
--- a/src/gypsummount/_entry/lending.py
+++ b/src/gypsummount/_entry/lending.py
@@ -10,7 +10,7 @@
 
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.metrics import Metrics
-from gypsummount._core.loans import LoanReturn
+from gypsummount._core.loans import ReturnToLender
 from gypsummount._core.pacing import Pacing
 from gypsummount._entry.budgets import EntryBudgets
 from gypsummount._entry.peers import PeerCalls
@@ -105,9 +105,10 @@
         if self._returns:
             await wait(set(self._returns))
 
-    def _send(self, returned: list[tuple[str, LoanReturn]]) -> None:
-        for lender, message in returned:
-            task = create_task(self._peers.return_loan(lender, message))
+    def _send(self, returned: list[ReturnToLender]) -> None:
+        for one in returned:
+            sending = self._peers.return_loan(one.lender, one.message)
+            task = create_task(sending)
             self._returns.add(task)
             task.add_done_callback(self._returns.discard)
 
--- a/tests/core/budget_model.py
+++ b/tests/core/budget_model.py
@@ -175,8 +175,9 @@
             self.network.append(packet)
 
     def return_idle(self, process: Process) -> None:
-        for lender, message in process.share.return_idle(self.now):
-            self.network.append(Packet(process.name, lender, message))
+        for one in process.share.return_idle(self.now):
+            packet = Packet(process.name, one.lender, one.message)
+            self.network.append(packet)
 
     def deliver(self, packet: Packet) -> None:
         process = self.processes.get(packet.target)
--- a/tests/core/lending_fleet.py
+++ b/tests/core/lending_fleet.py
@@ -242,10 +242,10 @@
         self._send_all(node, node.share.return_idle(self.now))
 
     def _send_all(self, node: Node, returned) -> None:
-        for lender, message in returned:
-            peer = self.nodes[int(lender)]
+        for one in returned:
+            peer = self.nodes[int(one.lender)]
             self.outcome.messages += 1
-            self._send_return(node, peer, message)
+            self._send_return(node, peer, one.message)
 
     def _send_return(
         self, node: Node, peer: Node, message: LoanReturn
--- a/tests/core/test_shares.py
+++ b/tests/core/test_shares.py
@@ -256,8 +256,8 @@
         borrower = create_share(Amount(0, 0), "borrower")
         request = borrower.build_request("lender", 1.0, 4)
         assert borrower.accept(lender.lend(request, 1.0), 1.0)
-        for _, message in borrower.return_all(1.0):
-            assert lender.take_back(message, 1.0)
-            assert not lender.take_back(message, 1.0)
+        for one in borrower.return_all(1.0):
+            assert lender.take_back(one.message, 1.0)
+            assert not lender.take_back(one.message, 1.0)
         assert lender.usable.burst == 10
         assert lender.level == 10
