Let an agent hear of an entry that is stopped with it

So nobody told the peers; they kept the entries in look-ups until the beats were missed for 2.5 s, which with the second that callers keep a look-up is longer than the drain of 3 s. The shares were not retired either.

Change: an agent waits 1 s, two report periods, before it looks for entries that leave. A stop of an agent alone takes 1 s longer.

Before: the new test, which stops the agent 0.2 s before the entry, failed.

--- a/src/gypsummount/_agent/process.py
+++ b/src/gypsummount/_agent/process.py
@@ -33,6 +33,7 @@
 LEDGER_PERIOD_S = 0.5
 ROLLOUT_PERIOD_S = 0.25
 POLL_S = 0.1
+NOTICE_S = 1.0
 
 _log = get_logger("agent")
 
@@ -99,6 +100,8 @@
         """Outlive the entries that are leaving, to retire their shares."""
         until = read_monotonic() + self._settings.stop_limit_s
         _log.info("Leaving once the entries have left.")
+        # An entry that is stopped with its agent may not have said so.
+        await sleep(NOTICE_S)
         while self._has_leaving_entry() and read_monotonic() < until:
             await sleep(POLL_S)
         await self._keeper.reconcile()
--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -47,6 +47,17 @@
         assert list_bad(load.results) == []
         await check_single_runs(cluster, load.results)
 
+    async def test_agent_outlives_an_entry_stopped_just_after_it(
+        self, cluster
+    ):
+        instance = cluster.instances[1]
+        instance.agent.signal(SIGTERM)
+        await sleep(0.2)
+        instance.entry.signal(SIGTERM)
+        assert await instance.entry.wait(20) == 0
+        assert instance.agent.is_alive
+        assert await instance.agent.wait(20) == 0
+
     async def test_share_of_a_stopped_entry_is_handed_on(self, cluster):
         instance = cluster.instances[2]
         instance.entry.signal(SIGTERM)
