--- a/benchmarks/test_paths.py
+++ b/benchmarks/test_paths.py
@@ -10,7 +10,7 @@
 from tornado.httputil import HTTPHeaders
 from tornado.httputil import ResponseStartLine
 
-from gypsummount._common.settings import bind_address
+from gypsummount._common.sockets import bind_address
 from gypsummount._core.sanitizing import Header
 from gypsummount._demo.fleet import Ports
 from gypsummount._entry.connections import ConnectionPool
--- a/src/gypsummount/_agent/process.py
+++ b/src/gypsummount/_agent/process.py
@@ -23,7 +23,7 @@
 from gypsummount._common.rpc import Channels
 from gypsummount._common.rpc import open_server
 from gypsummount._common.rpc import start_server
-from gypsummount._common.settings import bind_address
+from gypsummount._common.sockets import bind_address
 from gypsummount._common.tasks import repeat
 from gypsummount._common.tasks import start_task
 from gypsummount._proto.peer_pb2_grpc import add_AgentServicer_to_server
--- a/src/gypsummount/_agent/program.py
+++ b/src/gypsummount/_agent/program.py
@@ -16,11 +16,11 @@
 from gypsummount._common.settings import DomainName
 from gypsummount._common.settings import InstanceName
 from gypsummount._common.settings import LogLevel
-from gypsummount._common.settings import on_stop
 from gypsummount._common.settings import Pepper
 from gypsummount._common.settings import read_secret
 from gypsummount._common.settings import RegionName
 from gypsummount._common.settings import run_program
+from gypsummount._common.signals import on_stop
 from gypsummount._core.shares import PAUSE_LIMIT_S
 from gypsummount.errors import SettingError
 
--- a/src/gypsummount/_common/settings.py
+++ b/src/gypsummount/_common/settings.py
@@ -1,16 +1,12 @@
 """Settings shared by the programs, and checks with clear errors."""
 
-from asyncio import get_running_loop
 from asyncio import run
 from collections.abc import Callable
 from collections.abc import Coroutine
 from contextlib import suppress
-from signal import SIGINT
-from signal import SIGTERM
 import sys
 from typing import Annotated
 
-from tornado.netutil import bind_sockets
 from typer import echo
 from typer import Exit
 from typer import Option
@@ -113,27 +109,6 @@
     return text.encode()
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return the host and the port of an address."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
-def bind_address(flag: str, address: str) -> list:
-    """Return bound listening sockets for an address.
-
-    :raises SettingError: when the port is taken or not local.
-    """
-    host, port = split_address(address)
-    try:
-        return bind_sockets(port, host)
-    except OSError as error:
-        raise SettingError(
-            f"{flag}: cannot listen on {address} ({error.strerror}); "
-            "stop the other process or choose another port"
-        ) from None
-
-
 def run_program(main: Callable[[], Coroutine[object, object, None]]) -> None:
     """Run a program; a known error is one line and exit code 2."""
     try:
@@ -143,10 +118,3 @@
         echo(f"error: {error}", err=True)
         raise Exit(USAGE_EXIT) from None
     sys.stdout.flush()
-
-
-def on_stop(callback: Callable[[], None]) -> None:
-    """Call back when the process is asked to end."""
-    loop = get_running_loop()
-    for number in (SIGTERM, SIGINT):
-        loop.add_signal_handler(number, callback)
--- /dev/null
+++ b/src/gypsummount/_common/signals.py
@@ -0,0 +1,13 @@
+"""Signals that end a process."""
+
+from asyncio import get_running_loop
+from collections.abc import Callable
+from signal import SIGINT
+from signal import SIGTERM
+
+
+def on_stop(callback: Callable[[], None]) -> None:
+    """Call back when the process is asked to end."""
+    loop = get_running_loop()
+    for number in (SIGTERM, SIGINT):
+        loop.add_signal_handler(number, callback)
--- /dev/null
+++ b/src/gypsummount/_core/backlog.py
@@ -0,0 +1,117 @@
+"""Load, health and pace of one upstream as an edge instance sees it."""
+
+from gypsummount._core.catalog import UpstreamRecord
+from gypsummount._core.placement import hash_name
+
+REPORT_FADE_S = 0.5
+FAULTS_TO_EJECT = 3
+FIRST_EJECTION_S = 0.5
+LONGEST_EJECTION_S = 4.0
+ERROR_WEIGHT = 0.1
+HIGH_ERROR_RATE = 0.25
+PACE_WINDOW_S = 1.0
+RETURN_COLD_S = 1.0
+
+
+class UpstreamLoad:
+    """Own requests, reported load, faults and cold pace."""
+
+    __slots__ = (
+        "_ejected_until",
+        "_ejections",
+        "_faults",
+        "_others",
+        "_reported_at",
+        "_sent",
+        "_shut_until",
+        "cold_until",
+        "error_rate",
+        "in_flight",
+        "latency_s",
+        "record",
+        "seed",
+    )
+
+    def __init__(self, record: UpstreamRecord, cold_until: float) -> None:
+        self.record = record
+        self.seed = hash_name(record.name)
+        self.cold_until = cold_until
+        self.in_flight = 0
+        self.latency_s = 0.0
+        self.error_rate = 0.0
+        self._others = 0.0
+        self._reported_at = 0.0
+        self._faults = 0
+        self._ejections = 0
+        self._ejected_until = 0.0
+        self._shut_until = 0.0
+        self._sent: list[float] = []
+
+    def estimate(self, now: float) -> float:
+        """Return the requests at the upstream, all instances."""
+        age_s = now - self._reported_at
+        if age_s >= 2 * REPORT_FADE_S:
+            return float(self.in_flight)
+        fade = 1.0 if age_s < REPORT_FADE_S else 0.5
+        return self.in_flight + self._others * fade
+
+    def can_take(self, now: float) -> bool:
+        """Tell whether the upstream is neither ejected nor shedding."""
+        return now >= self._ejected_until and now >= self._shut_until
+
+    def has_pace(self, now: float, cold_limit: float) -> bool:
+        """Tell whether a cold upstream may get one more this second."""
+        if now >= self.cold_until:
+            return True
+        while self._sent and self._sent[0] <= now - PACE_WINDOW_S:
+            self._sent.pop(0)
+        return len(self._sent) + 1 <= cold_limit
+
+    def note_start(self, now: float) -> None:
+        """Record that a request is sent."""
+        self.in_flight += 1
+        if now < self.cold_until:
+            self._sent.append(now)
+
+    def note_end(self) -> None:
+        """Record that an exchange is over, however it ended."""
+        self.in_flight -= 1
+
+    def note_report(self, running: int, waiting: int, now: float) -> None:
+        """Record the load that came with an answer."""
+        self._others = max(0.0, running + waiting - self.in_flight)
+        self._reported_at = now
+
+    def note_shed(self, now: float, pause_s: float) -> None:
+        """Record that the upstream refused to run a request."""
+        self._shut_until = max(self._shut_until, now + pause_s)
+
+    def note_success(self, latency_s: float) -> None:
+        """Record a good answer."""
+        self._faults = 0
+        self._ejections = 0
+        self.error_rate -= self.error_rate * ERROR_WEIGHT
+        gap = latency_s - self.latency_s
+        self.latency_s += gap * (0.1 if self.latency_s else 1.0)
+
+    def note_fault(self, now: float) -> None:
+        """Record a failed exchange; several in a row eject."""
+        self._faults += 1
+        self.error_rate += (1 - self.error_rate) * ERROR_WEIGHT
+        if self._faults < FAULTS_TO_EJECT:
+            return
+        self._faults = FAULTS_TO_EJECT - 1
+        pause = min(LONGEST_EJECTION_S, FIRST_EJECTION_S * 2**self._ejections)
+        self._ejections += 1
+        self._ejected_until = now + pause
+
+    def note_unreachable(self, now: float, cold_s: float) -> None:
+        """Record that no connection could be made.
+
+        The upstream may come back cold, so it is paced after that.
+        """
+        self.note_fault(now)
+        self._ejected_until = max(self._ejected_until, now + FIRST_EJECTION_S)
+        self.cold_until = max(
+            self.cold_until, self._ejected_until + cold_s + RETURN_COLD_S
+        )
--- /dev/null
+++ b/src/gypsummount/_core/freshness.py
@@ -0,0 +1,48 @@
+"""Proof that no key withdrawal was missed, dated by the boot clock."""
+
+
+class FreshnessProof:
+    """The latest moment at which a catalog was known to be the newest.
+
+    Moments are boot-clock seconds, which also pass while the machine is
+    suspended.  A proof counts only for the catalog revision it names.
+    """
+
+    __slots__ = ("_limit_s", "proved_at", "revision")
+
+    def __init__(self, limit_s: float) -> None:
+        self._limit_s = limit_s
+        self.revision = 0
+        self.proved_at = float("-inf")
+
+    def note_read(self, revision: int, started_at: float) -> None:
+        """Record an own linearizable read that began at a moment."""
+        self._take(revision, started_at)
+
+    def note_peer(
+        self, revision: int, asked_at: float, age_s: float | None
+    ) -> None:
+        """Record a peer's word, given after it heard our question.
+
+        The peer's proof was ``age_s`` old when it answered, and it
+        answered after ``asked_at``, whatever the delays on the way.
+        """
+        if age_s is not None:
+            self._take(revision, asked_at - age_s)
+
+    def find_age(self, now: float) -> float | None:
+        """Return the age (s) of the proof, or None without one."""
+        if self.revision == 0:
+            return None
+        return max(0.0, now - self.proved_at)
+
+    def is_fresh(self, now: float) -> bool:
+        """Tell whether keyed requests may still be sent."""
+        return now - self.proved_at <= self._limit_s
+
+    def _take(self, revision: int, moment: float) -> None:
+        if revision > self.revision:
+            self.revision = revision
+            self.proved_at = moment
+        elif revision == self.revision:
+            self.proved_at = max(self.proved_at, moment)
--- /dev/null
+++ b/src/gypsummount/_core/quotas.py
@@ -0,0 +1,142 @@
+"""Shares of workspace rates that hold without a central counter.
+
+Every instance announces its demand and its share.  An instance's share
+is the part of the rate that silent instances have not kept, divided by
+announced demand.  A silent instance keeps what it had, or an equal part
+if that is more, and takes no more itself; so the sum of the shares
+stays within the rate on both sides of a partition.
+"""
+
+from dataclasses import dataclass
+from dataclasses import field
+
+BURST_PART = 0.5
+LEAST_BURST = 2.0
+EQUAL_DEMAND = 0.05
+FULL = float("inf")
+DEMAND_WEIGHT = 0.4
+
+
+@dataclass(slots=True, frozen=True)
+class QuotaDemand:
+    """Demand (1/s) and share (0 to 1) of a workspace at an instance."""
+
+    demand: float
+    share: float
+
+
+@dataclass(slots=True)
+class PeerQuotas:
+    """What a peer announced last; ``is_live`` while it is heard."""
+
+    is_live: bool
+    by_workspace: dict[str, QuotaDemand] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class _Bucket:
+    tokens: float
+    filled_at: float
+    offered: int = 0
+    demand: float = 0.0
+    announced: float = 0.0
+    share: float = 0.0
+
+
+class QuotaShares:
+    """Token buckets of one instance for its shares of the rates."""
+
+    __slots__ = ("_buckets", "_measured_at", "_start_share")
+
+    def __init__(self, start_share: float) -> None:
+        self._buckets: dict[str, _Bucket] = {}
+        self._measured_at: float | None = None
+        self._start_share = start_share
+
+    def try_take(
+        self, workspace: str, rate: float, burst: float, now: float
+    ) -> bool:
+        """Take a token of a workspace; False when it has none left."""
+        bucket = self._find(workspace, now)
+        bucket.offered += 1
+        if rate <= 0:
+            return True
+        size = max(LEAST_BURST, burst * bucket.share * BURST_PART)
+        gained = (now - bucket.filled_at) * rate * bucket.share
+        bucket.tokens = min(size, bucket.tokens + gained)
+        bucket.filled_at = now
+        if bucket.tokens < 1:
+            return False
+        bucket.tokens -= 1
+        return True
+
+    def put_back(self, workspace: str) -> None:
+        """Return the token of a request that was not sent."""
+        self._buckets[workspace].tokens += 1
+
+    def find_wait(self, workspace: str, rate: float) -> float:
+        """Return the seconds until the next token, at least."""
+        bucket = self._buckets[workspace]
+        flow = max(0.1, rate * bucket.share)
+        return max(0.05, (1 - bucket.tokens) / flow)
+
+    def measure(self, now: float) -> None:
+        """Measure the demand since the last call."""
+        if self._measured_at is not None and now > self._measured_at:
+            span_s = now - self._measured_at
+            for bucket in self._buckets.values():
+                current = bucket.offered / span_s
+                bucket.offered = 0
+                bucket.announced = bucket.demand
+                bucket.demand += (current - bucket.demand) * DEMAND_WEIGHT
+        self._measured_at = now
+
+    def list_demands(self) -> dict[str, QuotaDemand]:
+        """Return what peers are to be told."""
+        return {
+            name: QuotaDemand(round(bucket.demand, 2), round(bucket.share, 4))
+            for name, bucket in self._buckets.items()
+        }
+
+    def settle(self, peers: list[PeerQuotas], now: float) -> None:
+        """Work out the shares from what peers announced."""
+        silent = [peer for peer in peers if not peer.is_live]
+        live = [peer for peer in peers if peer.is_live]
+        equal = 1 / (len(peers) + 1)
+        names = set(self._buckets)
+        for name in names:
+            bucket = self._find(name, now)
+            kept = sum(_find_kept(peer, name, equal) for peer in silent)
+            if peers and not live:
+                bucket.share = min(bucket.share, equal)
+                continue
+            bucket.share = _divide(bucket, live, name, max(0.0, 1 - kept))
+
+    def _find(self, workspace: str, now: float) -> _Bucket:
+        bucket = self._buckets.get(workspace)
+        if bucket is None:
+            bucket = _Bucket(FULL, now, share=self._start_share)
+            self._buckets[workspace] = bucket
+        return bucket
+
+
+def _find_kept(peer: PeerQuotas, workspace: str, equal: float) -> float:
+    known = peer.by_workspace.get(workspace)
+    return max(known.share, equal) if known is not None else equal
+
+
+def _divide(
+    bucket: _Bucket, live: list[PeerQuotas], workspace: str, rest: float
+) -> float:
+    """Return the part of the rest in proportion to announced demand.
+
+    A small equal part each lets an instance without demand serve the
+    first requests that come.
+    """
+    others = [peer.by_workspace.get(workspace) for peer in live]
+    total = bucket.announced + sum(one.demand for one in others if one)
+    equal = 1 / (len(live) + 1)
+    if total <= 0:
+        return rest * equal
+    own = bucket.announced / total
+    return rest * (own * (1 - EQUAL_DEMAND) + equal * EQUAL_DEMAND)
--- a/src/gypsummount/_core/retries.py
+++ b/src/gypsummount/_core/retries.py
@@ -7,11 +7,15 @@
 class RetryBudget:
     """Saves a share of each first try, up to a limit."""
 
-    __slots__ = ("_saved", "_share")
+    __slots__ = ("_most", "_saved", "_share")
 
     def __init__(
-        self, share: float = RETRY_SHARE, saved: float = MAX_SAVED / 2
+        self,
+        share: float = RETRY_SHARE,
+        saved: float = MAX_SAVED / 2,
+        most: float = MAX_SAVED,
     ) -> None:
+        self._most = most
         self._share = share
         self._saved = saved
 
@@ -22,7 +26,7 @@
 
     def note_first_try(self) -> None:
         """Earn a share of a retry."""
-        self._saved = min(MAX_SAVED, self._saved + self._share)
+        self._saved = min(self._most, self._saved + self._share)
 
     def try_retry(self) -> bool:
         """Spend one retry if there is one."""
--- a/src/gypsummount/_demo/fleet.py
+++ b/src/gypsummount/_demo/fleet.py
@@ -15,7 +15,7 @@
 from gypsummount._agent.process import AgentProcess
 from gypsummount._agent.state import AgentSettings
 from gypsummount._common.clocks import read_monotonic
-from gypsummount._common.settings import bind_address
+from gypsummount._common.sockets import bind_address
 from gypsummount._config.parser import load_rules
 from gypsummount._demo.rules import DOMAINS
 from gypsummount._entry.process import EntryProcess
--- /dev/null
+++ b/src/gypsummount/_edge/belief.py
@@ -0,0 +1,169 @@
+"""What an edge instance holds true of the fleet, from the store."""
+
+from gypsummount._common.logs import get_logger
+from gypsummount._core.catalog import Catalog
+from gypsummount._core.catalog import RolloutOrder
+from gypsummount._core.catalog import UpstreamRecord
+from gypsummount._core.freshness import FreshnessProof
+from gypsummount._edge.feed import Feed
+from gypsummount._edge.feed import InstanceRecord
+from gypsummount._edge.feed import Kind
+from gypsummount._edge.feed import Listing
+from gypsummount._edge.feed import Record
+from gypsummount.errors import RecordInvalid
+
+RETURN_HOLD_S = 2.0
+REQUIRED = (Kind.CATALOG, Kind.UPSTREAM, Kind.EVACUATION, Kind.ROLLOUT)
+
+_log = get_logger("belief")
+
+
+class Belief:
+    """The newest known records of each kind, decoded.
+
+    ``changes`` grows with every change, so that readers can tell when
+    what they derived is out of date.  ``revisions`` are those of the
+    store up to which each kind is known, ``changed`` those of the
+    latest change to each.
+    """
+
+    def __init__(self, feed: Feed, proof: FreshnessProof) -> None:
+        self._feed = feed
+        self._records: dict[Kind, dict[str, Record]] = {
+            kind: {} for kind in Kind
+        }
+        self._held: dict[str, float] = {}
+        self.proof = proof
+        self.revisions: dict[Kind, int] = {}
+        self.changed: dict[Kind, int] = {}
+        self.catalog: Catalog | None = None
+        self.catalog_revision = 0
+        self.upstreams: dict[str, UpstreamRecord] = {}
+        self.evacuated: frozenset[str] = frozenset()
+        self.rollouts: dict[str, RolloutOrder] = {}
+        self.instances: dict[str, InstanceRecord] = {}
+        self.changes = 0
+        self.regained_at = float("-inf")
+
+    def is_known(self, kind: Kind) -> bool:
+        """Tell whether the records of a kind were ever listed."""
+        return kind in self.revisions
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether requests can be steered."""
+        return self.catalog is not None and all(
+            kind in self.revisions for kind in REQUIRED
+        )
+
+    def list_records(self, kind: Kind) -> list[Record]:
+        """Return the records of a kind, for a peer."""
+        return list(self._records[kind].values())
+
+    def take_listing(self, kind: Kind, listing: Listing, now: float) -> None:
+        """Replace the records of a kind, unless they are older."""
+        if listing.revision < self.revisions.get(kind, 0):
+            return
+        names = {record.name for record in listing.records}
+        for name in list(self._records[kind]):
+            if name not in names:
+                self._remove(kind, name, listing.revision, now)
+        for record in listing.records:
+            self._put(record)
+        self.revisions[kind] = listing.revision
+
+    def take_changes(self, kind: Kind, listing: Listing, now: float) -> None:
+        """Apply changes that follow the known revision."""
+        for record in listing.records:
+            if record.is_deleted:
+                self._remove(kind, record.name, record.revision, now)
+            else:
+                self._put(record)
+        known = self.revisions.get(kind, 0)
+        self.revisions[kind] = max(known, listing.revision)
+
+    def note_regained(self, now: float) -> None:
+        """Record that the store answers again after an outage.
+
+        Entries of live upstreams that lapsed meanwhile come back, so
+        removals are put off for :data:`RETURN_HOLD_S`.
+        """
+        self.regained_at = now
+
+    def expire_held(self, now: float) -> None:
+        """Drop the upstreams that have not come back."""
+        for name in [name for name, at in self._held.items() if at <= now]:
+            del self._held[name]
+            self._drop(Kind.UPSTREAM, name)
+
+    def _put(self, record: Record) -> None:
+        known = self._records[record.kind].get(record.name)
+        if known is not None and known.revision >= record.revision:
+            if record.name in self._held:
+                del self._held[record.name]
+            return
+        self._records[record.kind][record.name] = record
+        self._note_change(record.kind, record.revision)
+        self._held.pop(record.name, None)
+        try:
+            value = self._feed.decode(record)
+        except RecordInvalid as error:
+            _log.warning(
+                "Ignored %s '%s': %s", record.kind.value, record.name, error
+            )
+            if record.kind is Kind.UPSTREAM:
+                self._forget(record.kind, record.name)
+            return
+        self._apply(record, value)
+        self.changes += 1
+
+    def _apply(self, record: Record, value: object) -> None:
+        if isinstance(value, Catalog):
+            self.catalog = value
+            self.catalog_revision = record.revision
+            _log.info("Configuration %s is in force.", value.version)
+        elif isinstance(value, UpstreamRecord):
+            self.upstreams[record.name] = value
+        elif isinstance(value, RolloutOrder):
+            self.rollouts[value.service] = value
+        elif isinstance(value, InstanceRecord):
+            self.instances[record.name] = value
+        else:
+            self.evacuated = self.evacuated | {record.name}
+
+    def _remove(
+        self, kind: Kind, name: str, revision: int, now: float
+    ) -> None:
+        known = self._records[kind].get(name)
+        if known is None or known.revision > revision:
+            return
+        if kind is Kind.CATALOG:
+            return
+        self._note_change(kind, revision)
+        is_held = kind is Kind.UPSTREAM and (
+            now < self.regained_at + RETURN_HOLD_S
+        )
+        upstream = self.upstreams.get(name)
+        if is_held and upstream is not None and upstream.is_ready:
+            until = self.regained_at + RETURN_HOLD_S
+            self._held.setdefault(name, until)
+            return
+        self._drop(kind, name)
+
+    def _note_change(self, kind: Kind, revision: int) -> None:
+        self.changed[kind] = max(self.changed.get(kind, 0), revision)
+
+    def _drop(self, kind: Kind, name: str) -> None:
+        self._records[kind].pop(name, None)
+        self._forget(kind, name)
+        self.changes += 1
+
+    def _forget(self, kind: Kind, name: str) -> None:
+        if kind is Kind.UPSTREAM:
+            self.upstreams.pop(name, None)
+        elif kind is Kind.EVACUATION:
+            self.evacuated = self.evacuated - {name}
+        elif kind is Kind.ROLLOUT:
+            self.rollouts.pop(name, None)
+        elif kind is Kind.INSTANCE:
+            self.instances.pop(name, None)
--- /dev/null
+++ b/src/gypsummount/_edge/front.py
@@ -0,0 +1,171 @@
+"""HTTP servers of an edge: callers, directory, readiness, metrics."""
+
+from asyncio import CancelledError
+from asyncio import create_task
+from asyncio import Task
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPServerRequest
+from tornado.httputil import responses
+from tornado.httputil import ResponseStartLine
+from tornado.iostream import StreamClosedError
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._common.logs import get_logger
+from gypsummount._common.metrics import Metrics
+from gypsummount._common.metrics import Series
+from gypsummount._edge.decisions import DecisionLog
+from gypsummount._edge.proxy import Proxy
+from gypsummount._edge.wire import Arrival
+from gypsummount._edge.wire import Wire
+from gypsummount._entry.connections import UpstreamAnswer
+from gypsummount.errors import OutcomeUnknown
+from gypsummount.errors import RequestError
+
+MAX_BODY_BYTES = 64 * 1024 * 1024
+IDLE_LIMIT_S = 75.0
+NO_BODY = (204, 304)
+
+_log = get_logger("front")
+
+
+class EdgeFront:
+    """Answers callers; every request gets one final answer."""
+
+    def __init__(
+        self,
+        proxy: Proxy,
+        wire: Wire,
+        metrics: Metrics,
+        decisions: DecisionLog,
+    ) -> None:
+        self._proxy = proxy
+        self._wire = wire
+        self._metrics = metrics
+        self._decisions = decisions
+        self._tasks: set[Task[None]] = set()
+        self._server = HTTPServer(
+            self._receive,
+            max_body_size=MAX_BODY_BYTES,
+            idle_connection_timeout=IDLE_LIMIT_S,
+        )
+        self.is_closing = False
+        self.arrived_at = read_monotonic()
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests under way."""
+        return len(self._tasks)
+
+    def listen(self, sockets: list) -> None:
+        """Begin to accept connections."""
+        self._server.add_sockets(sockets)
+
+    def stop_listening(self) -> None:
+        """Accept no further connections."""
+        self._server.stop()
+
+    async def close(self) -> None:
+        """Drop all connections."""
+        self._server.stop()
+        for task in list(self._tasks):
+            task.cancel()
+        await self._server.close_all_connections()
+
+    def _receive(self, request: HTTPServerRequest) -> None:
+        self.arrived_at = read_monotonic()
+        task = create_task(self._serve(request))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        request.connection.set_close_callback(task.cancel)
+
+    async def _serve(self, request: HTTPServerRequest) -> None:
+        started = read_monotonic()
+        arrival: Arrival | None = None
+        try:
+            arrival = self._wire.read_arrival(request)
+            answer = await self._proxy.run(arrival, started)
+            self._write_answer(request, answer)
+            self._note_answer(arrival, answer, read_monotonic() - started)
+        except RequestError as error:
+            self._write_error(request, error)
+            self._decisions.note_refusal(
+                arrival, error, read_monotonic() - started
+            )
+        except StreamClosedError:
+            self._metrics.count("callers.lost")
+        except CancelledError:
+            self._metrics.count("callers.lost")
+            raise
+        except Exception:
+            _log.exception("A request failed unexpectedly.")
+            error = OutcomeUnknown("an internal fault; look it up")
+            self._write_error(request, error)
+
+    def _note_answer(
+        self, arrival: Arrival, answer: UpstreamAnswer, latency_s: float
+    ) -> None:
+        self._metrics.count(f"answers.{answer.status // 100}xx")
+        self._metrics.record(Series(arrival.host, ""), latency_s)
+
+    def _write_answer(
+        self, request: HTTPServerRequest, answer: UpstreamAnswer
+    ) -> None:
+        request.connection.set_close_callback(None)
+        headers = HTTPHeaders()
+        for line in self._wire.list_answer_headers(answer):
+            headers.add(line.name, line.value)
+        body = answer.body
+        if request.method == "HEAD" or answer.status in NO_BODY:
+            body = b""
+        if answer.status not in NO_BODY:
+            headers["Content-Length"] = str(len(body))
+        if self.is_closing:
+            headers["Connection"] = "close"
+        line = ResponseStartLine("HTTP/1.1", answer.status, answer.reason)
+        request.connection.write_headers(line, headers, body)
+        request.connection.finish()
+
+    def _write_error(
+        self, request: HTTPServerRequest, error: RequestError
+    ) -> None:
+        self._metrics.count(f"refused.{error.code}")
+        request.connection.set_close_callback(None)
+        body = f"{error.code}: {error}\n".encode()
+        headers = HTTPHeaders(
+            {
+                "Content-Type": "text/plain",
+                "Content-Length": str(len(body)),
+            }
+        )
+        given = request.headers.get(self._wire.id_header)
+        if given is not None:
+            headers[self._wire.id_header] = given
+        if error.retry_after_s is not None:
+            headers["Retry-After"] = f"{error.retry_after_s:.3g}"
+        if self.is_closing:
+            headers["Connection"] = "close"
+        if request.method == "HEAD":
+            body = b""
+        status = self._wire.find_status(error)
+        reason = responses.get(status, "Unknown")
+        line = ResponseStartLine("HTTP/1.1", status, reason)
+        try:
+            request.connection.write_headers(line, headers, body)
+            request.connection.finish()
+        except StreamClosedError:
+            self._metrics.count("callers.lost")
+
+
+def write_plain(
+    request: HTTPServerRequest, status: int, kind: str, body: bytes
+) -> None:
+    """Write a short answer of an own interface."""
+    headers = HTTPHeaders(
+        {"Content-Type": kind, "Content-Length": str(len(body))}
+    )
+    reason = responses.get(status, "Unknown")
+    line = ResponseStartLine("HTTP/1.1", status, reason)
+    request.connection.write_headers(line, headers, body)
+    request.connection.finish()
--- /dev/null
+++ b/src/gypsummount/_edge/gossip.py
@@ -0,0 +1,107 @@
+"""Exchange of digests between instances over UDP."""
+
+from asyncio import DatagramProtocol
+from asyncio import DatagramTransport
+from asyncio import get_running_loop
+from collections.abc import Callable
+from random import Random
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._common.logs import get_logger
+from gypsummount._edge.digests import Acquaintance
+from gypsummount._edge.digests import decode_digest
+from gypsummount._edge.digests import Digest
+from gypsummount._edge.digests import Echo
+from gypsummount._edge.digests import encode_digest
+from gypsummount._edge.peers import Peers
+from gypsummount.errors import RecordInvalid
+
+MAX_TARGETS = 16
+MAX_KNOWN = 12
+
+_log = get_logger("gossip")
+
+DigestBuilder = Callable[[Echo, tuple[Acquaintance, ...]], Digest]
+DigestTaker = Callable[[Digest], None]
+
+
+class Gossip(DatagramProtocol):
+    """Tells peers this instance's digest and takes theirs."""
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        port: int,
+        peers: Peers,
+        build: DigestBuilder,
+        take: DigestTaker,
+        random: Random,
+    ) -> None:
+        self._name = name
+        self._host = host
+        self._port = port
+        self._peers = peers
+        self._build = build
+        self._take = take
+        self._random = random
+        self._hosts: dict[str, str] = {}
+        self._transport: DatagramTransport | None = None
+
+    async def open(self) -> None:
+        """Bind the socket."""
+        loop = get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(self._host, self._port)
+        )
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def connection_made(self, transport: DatagramTransport) -> None:
+        """Keep the bound socket."""
+        self._transport = transport
+
+    def add_host(self, name: str, host: str) -> None:
+        """Learn of an instance to tell, by its IP."""
+        if host != self._host:
+            self._hosts[host] = name
+
+    def tell_peers(self) -> None:
+        """Send the digest to peers, a bounded number each time."""
+        hosts = list(self._hosts)
+        if len(hosts) > MAX_TARGETS:
+            hosts = self._random.sample(hosts, MAX_TARGETS)
+        for host in hosts:
+            self._tell(host, self._hosts[host])
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take a peer's digest."""
+        try:
+            digest = decode_digest(data)
+        except RecordInvalid as error:
+            _log.warning("Ignored a datagram of %s: %s", addr[0], error)
+            return
+        now = read_monotonic()
+        if digest.name == self._name or not self._peers.take(digest, now):
+            return
+        self.add_host(digest.name, digest.host)
+        for one in digest.known:
+            if one.host not in self._hosts:
+                self.add_host(one.name, one.host)
+        self._take(digest)
+
+    def error_received(self, exc: Exception) -> None:
+        """Note that a peer's host refused a datagram."""
+        _log.debug("A datagram was refused: %s", exc)
+
+    def _tell(self, host: str, name: str) -> None:
+        echo = self._peers.find_echo(name)
+        known = tuple(
+            Acquaintance(one.name, one.host)
+            for one in self._peers.list_known()[:MAX_KNOWN]
+        )
+        datagram = encode_digest(self._build(echo, known))
+        self._transport.sendto(datagram, (host, self._port))
--- /dev/null
+++ b/src/gypsummount/_edge/mirror.py
@@ -0,0 +1,119 @@
+"""Following of the store: lists, watches, proofs and peers' copies."""
+
+from asyncio import sleep
+from random import Random
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._common.logs import get_logger
+from gypsummount._core.charts import Machine
+from gypsummount._edge.belief import Belief
+from gypsummount._edge.feed import Feed
+from gypsummount._edge.feed import Kind
+from gypsummount.errors import HistoryGone
+from gypsummount.errors import StoreError
+
+WATCH_S = {
+    Kind.CATALOG: 5.0,
+    Kind.UPSTREAM: 5.0,
+    Kind.EVACUATION: 8.0,
+    Kind.ROLLOUT: 8.0,
+}
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 0.8
+PROOF_AGE_S = 1.0
+PROOF_STEP_S = 0.15
+FAILURES_TO_LOSE = 3
+
+_log = get_logger("mirror")
+
+
+class StoreContact:
+    """Whether the store answers this instance; logs each change."""
+
+    def __init__(self, belief: Belief) -> None:
+        self._belief = belief
+        self._machine = Machine("contact")
+        self._failures = 0
+        self.answered_at = float("-inf")
+
+    @property
+    def is_connected(self) -> bool:
+        """Tell whether the latest calls were answered."""
+        return self._machine.state == "connected"
+
+    def note_answer(self) -> None:
+        """Record an answer of the store."""
+        self._failures = 0
+        self.answered_at = read_monotonic()
+        if self._machine.state == "lost":
+            self._belief.note_regained(self.answered_at)
+            _log.info("The store answers again.")
+        if self._machine.can_fire("answered"):
+            self._machine.fire("answered")
+
+    def note_failure(self, error: StoreError) -> None:
+        """Record a call that failed."""
+        self._failures += 1
+        if self._failures < FAILURES_TO_LOSE:
+            return
+        if self._machine.can_fire("failed"):
+            self._machine.fire("failed")
+            _log.warning("The store is out of reach: %s", error)
+
+
+class Mirror:
+    """Keeps the belief up to date from the store."""
+
+    def __init__(self, feed: Feed, belief: Belief, random: Random) -> None:
+        self._feed = feed
+        self._belief = belief
+        self._random = random
+        self.contact = StoreContact(belief)
+
+    async def follow(self, kind: Kind) -> None:
+        """List a kind and follow its changes for ever."""
+        pause_s = FIRST_PAUSE_S
+        while True:
+            try:
+                await self._list(kind)
+                pause_s = FIRST_PAUSE_S
+                await self._watch(kind)
+            except HistoryGone:
+                _log.info("History of %s is gone; listing.", kind.value)
+            except StoreError as error:
+                self.contact.note_failure(error)
+                await sleep(pause_s * (0.5 + self._random.random()))
+                pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
+
+    async def prove(self, rank: int) -> None:
+        """Read the catalog if nobody has lately proved it the newest.
+
+        Instances wait for longer the higher their rank, so that one
+        reads for all while it can.
+        """
+        now = read_monotonic()
+        age_s = self._belief.proof.find_age(now)
+        limit_s = PROOF_AGE_S + PROOF_STEP_S * rank
+        if age_s is not None and age_s < limit_s:
+            return
+        try:
+            await self._list(Kind.CATALOG)
+        except StoreError as error:
+            self.contact.note_failure(error)
+
+    async def _list(self, kind: Kind) -> None:
+        started_at = read_monotonic()
+        listing = await self._feed.list(kind)
+        self.contact.note_answer()
+        self._belief.take_listing(kind, listing, read_monotonic())
+        if kind is Kind.CATALOG:
+            self._belief.proof.note_read(
+                self._belief.catalog_revision, started_at
+            )
+
+    async def _watch(self, kind: Kind) -> None:
+        while True:
+            revision = self._belief.revisions[kind]
+            changes = await self._feed.watch(kind, revision, WATCH_S[kind])
+            self.contact.note_answer()
+            self._belief.take_changes(kind, changes, read_monotonic())
--- /dev/null
+++ b/src/gypsummount/_edge/process.py
@@ -0,0 +1,273 @@
+"""The edge process: wiring, periodic work, start and stop."""
+
+from asyncio import Event
+from asyncio import sleep
+from contextlib import AsyncExitStack
+from random import Random
+from time import time
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._common.logs import get_logger
+from gypsummount._common.metrics import Metrics
+from gypsummount._common.sockets import bind_address
+from gypsummount._common.tasks import repeat
+from gypsummount._common.tasks import start_task
+from gypsummount._core.charts import Machine
+from gypsummount._core.freshness import FreshnessProof
+from gypsummount._core.quotas import QuotaShares
+from gypsummount._edge.belief import Belief
+from gypsummount._edge.copies import Copies
+from gypsummount._edge.decisions import DecisionLog
+from gypsummount._edge.digests import Acquaintance
+from gypsummount._edge.digests import Digest
+from gypsummount._edge.digests import Echo
+from gypsummount._edge.digests import LEAVING
+from gypsummount._edge.digests import NO_ECHO
+from gypsummount._edge.digests import SERVING
+from gypsummount._edge.digests import STARTING
+from gypsummount._edge.feed import Feed
+from gypsummount._edge.feed import InstanceRecord
+from gypsummount._edge.feed import Kind
+from gypsummount._edge.front import EdgeFront
+from gypsummount._edge.gossip import Gossip
+from gypsummount._edge.mirror import Mirror
+from gypsummount._edge.mirror import WATCH_S
+from gypsummount._edge.peers import Peers
+from gypsummount._edge.proxy import Proxy
+from gypsummount._edge.repeats import Repeats
+from gypsummount._edge.rollouts import Rollouts
+from gypsummount._edge.selection import Selection
+from gypsummount._edge.settings import EdgeSettings
+from gypsummount._edge.wire import Wire
+from gypsummount.errors import StoreError
+
+GOSSIP_S = 0.4
+PLAN_S = 0.1
+DRIVE_S = 0.3
+PROVE_S = 0.2
+REGISTER_S = 1.0
+PROOF_MARGIN_S = 1.2
+START_SHARE = 0.1
+LEAVE_SERVE_S = 3.5
+STOP_MARGIN_S = 0.6
+MS_PER_S = 1000
+
+_log = get_logger("process")
+
+
+class EdgeProcess:
+    """An edge that serves until it is told to stop."""
+
+    def __init__(self, settings: EdgeSettings, feed: Feed, wire: Wire) -> None:
+        self._settings = settings
+        self._feed = feed
+        self._life = Machine("lifecycle")
+        self._stopping = Event()
+        self._incarnation = int(time() * MS_PER_S)
+        random = Random(self._incarnation)
+        limit_s = settings.bounds.revoke_s - PROOF_MARGIN_S
+        self.metrics = Metrics(None, "")
+        self.belief = Belief(feed, FreshnessProof(limit_s))
+        self.peers = Peers()
+        self._selection = Selection(
+            self.belief, settings.region, settings.regions
+        )
+        self._quotas = QuotaShares(START_SHARE)
+        self._rollouts = Rollouts(settings.instance, self.belief, feed)
+        self._mirror = Mirror(feed, self.belief, random)
+        self._copies = Copies(self.belief, settings.peer_port)
+        self._gossip = Gossip(
+            settings.instance,
+            settings.host,
+            settings.peer_port,
+            self.peers,
+            self._build_digest,
+            self._take_digest,
+            random,
+        )
+        self.front = EdgeFront(
+            Proxy(
+                self.belief,
+                self._selection,
+                self._quotas,
+                self._rollouts,
+                Repeats(),
+                wire,
+                settings.region,
+            ),
+            wire,
+            self.metrics,
+            DecisionLog(self.belief),
+        )
+
+    @property
+    def phase(self) -> str:
+        """Return whether the process starts, serves or leaves."""
+        if self._stopping.is_set():
+            return LEAVING
+        return SERVING if self.belief.is_ready else STARTING
+
+    def stop(self) -> None:
+        """Begin to leave: finish what is under way, then end."""
+        if self._stopping.is_set():
+            return
+        _log.info("Stopping.")
+        self._stopping.set()
+        self.front.is_closing = True
+        self._gossip.tell_peers()
+
+    def list_named(self) -> list[Digest]:
+        """Return the instances that callers may be sent to."""
+        named = self.peers.list_named(read_monotonic())
+        if self.phase == SERVING:
+            named.append(self._build_digest(NO_ECHO, ()))
+        return named
+
+    async def run(self) -> None:
+        """Serve until stopped and everything under way has ended."""
+        settings = self._settings
+        _log.info("Starting as %s in %s.", settings.instance, settings.domain)
+        async with AsyncExitStack() as stack:
+            await self._open(stack)
+            self._start_tasks(stack)
+            await self._stopping.wait()
+            await self._leave()
+        _log.info("Stopped.")
+
+    async def _open(self, stack: AsyncExitStack) -> None:
+        settings = self._settings
+        stack.push_async_callback(self._feed.close)
+        stack.callback(self._selection.close)
+        await self._gossip.open()
+        stack.callback(self._gossip.close)
+        for host in settings.seeds:
+            self._gossip.add_host("", host)
+        peer_address = f"{settings.host}:{settings.peer_port}"
+        self._copies.listen(bind_address("peer port", peer_address))
+        stack.push_async_callback(self._copies.close)
+        self.front.listen(bind_address("listen", settings.listen))
+        stack.push_async_callback(self.front.close)
+
+    def _start_tasks(self, stack: AsyncExitStack) -> None:
+        for kind in WATCH_S:
+            start_task(
+                stack, self._mirror.follow(kind), f"mirror.{kind.value}"
+            )
+        steps = (
+            (self._tell, GOSSIP_S, "gossip"),
+            (self._plan, PLAN_S, "plan"),
+            (self._drive, DRIVE_S, "rollouts"),
+            (self._prove, PROVE_S, "proof"),
+        )
+        for step, period_s, name in steps:
+            start_task(stack, repeat(step, period_s, name), name)
+        start_task(stack, self._register(), "register")
+
+    async def _leave(self) -> None:
+        """Serve on while callers still come, within the grace time."""
+        began = read_monotonic()
+        grace_s = self._settings.bounds.grace_s - STOP_MARGIN_S
+        while read_monotonic() - began < min(LEAVE_SERVE_S, grace_s):
+            await sleep(PLAN_S)
+        self.front.stop_listening()
+        while read_monotonic() - began < grace_s:
+            if not self.front.in_flight:
+                break
+            await sleep(PLAN_S / 2)
+
+    async def _tell(self) -> None:
+        now = read_monotonic()
+        self.peers.forget_old(now)
+        self._quotas.measure(now)
+        self._quotas.settle(self.peers.list_quotas(now), now)
+        self._gossip.tell_peers()
+
+    async def _plan(self) -> None:
+        now = read_monotonic()
+        self.belief.expire_held(now)
+        self._follow_fleet(now)
+        self._selection.update()
+        await self._copies.catch_up(
+            self.peers.list_live(now),
+            has_store=self._mirror.contact.is_connected,
+        )
+
+    async def _drive(self) -> None:
+        live = self.peers.list_live(read_monotonic())
+        await self._rollouts.drive(live, is_first=self._find_rank(live) == 0)
+
+    async def _prove(self) -> None:
+        live = self.peers.list_live(read_monotonic())
+        readers = [one for one in live if one.has_store]
+        await self._mirror.prove(self._find_rank(readers))
+
+    def _find_rank(self, live: list[Digest]) -> int:
+        name = self._settings.instance
+        return sum(1 for digest in live if digest.name < name)
+
+    async def _register(self) -> None:
+        """Make this instance known, and learn of the others."""
+        record = InstanceRecord(self._settings.instance, self._settings.host)
+        while True:
+            try:
+                await self._feed.register(record)
+                listing = await self._feed.list(Kind.INSTANCE)
+                break
+            except StoreError as error:
+                _log.warning("Not registered: %s", error)
+                await sleep(REGISTER_S)
+        self.belief.take_listing(Kind.INSTANCE, listing, read_monotonic())
+        for one in self.belief.instances.values():
+            self._gossip.add_host(one.name, one.host)
+
+    def _follow_fleet(self, now: float) -> None:
+        demand: dict[str, dict[str, float]] = {}
+        for digest in self.peers.list_live(now):
+            into = demand.setdefault(digest.region, {})
+            for service, rate in digest.demand.items():
+                into[service] = into.get(service, 0.0) + rate
+        own = self._settings.region
+        everyone = len(self.peers.list_known()) + 1
+        pacers = {}
+        for region in set(self._settings.regions.values()):
+            known = self.peers.count_region(region)
+            if region == own:
+                pacers[region] = known + 1
+            else:
+                pacers[region] = 0 if known else everyone
+        self._selection.follow_fleet(demand, pacers)
+
+    def _build_digest(
+        self, echo: Echo, known: tuple[Acquaintance, ...]
+    ) -> Digest:
+        settings = self._settings
+        now = read_monotonic()
+        return Digest(
+            settings.instance,
+            self._incarnation,
+            settings.host,
+            settings.listen,
+            settings.domain,
+            settings.region,
+            self.phase,
+            now,
+            echo,
+            self.belief.catalog_revision,
+            self.belief.proof.find_age(now),
+            self._mirror.contact.is_connected,
+            self._quotas.list_demands(),
+            self._selection.list_demand(),
+            {kind.value: rev for kind, rev in self.belief.changed.items()},
+            self._rollouts.list_news(),
+            known,
+        )
+
+    def _take_digest(self, digest: Digest) -> None:
+        if digest.catalog_revision == self.belief.catalog_revision:
+            if digest.echo.incarnation == self._incarnation:
+                self.belief.proof.note_peer(
+                    digest.catalog_revision,
+                    digest.echo.at,
+                    digest.proof_age_s,
+                )
+        self._rollouts.take_news(digest)
--- /dev/null
+++ b/src/gypsummount/_edge/selection.py
@@ -0,0 +1,443 @@
+"""Selection of an upstream for each request, and the wait for one."""
+
+from asyncio import Future
+from asyncio import get_running_loop
+from asyncio import wait
+from dataclasses import dataclass
+from dataclasses import field
+from heapq import heappop
+from heapq import heappush
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._common.logs import get_logger
+from gypsummount._core.backlog import UpstreamLoad
+from gypsummount._core.catalog import EdgeRoute
+from gypsummount._core.catalog import UpstreamRecord
+from gypsummount._core.placement import mix_hashes
+from gypsummount._core.placement import RegionLoad
+from gypsummount._core.placement import RegionPlan
+from gypsummount._edge.belief import Belief
+from gypsummount._entry.connections import ConnectionPool
+from gypsummount._entry.connections import Suspicion
+from gypsummount.errors import NoCapacity
+
+MAX_IDLE_AGE_S = 6.0
+MAX_WAITING = 24
+WAIT_PART = 0.5
+OVERFLOW_PART = 0.06
+OVERFLOW_BURST = 4.0
+DEMAND_WEIGHT = 0.3
+WORK_WEIGHT = 0.02
+FIRST_WORK_S = 0.2
+RETRY_S = 0.25
+MAX_RANKS = 20_000
+
+_log = get_logger("selection")
+
+
+@dataclass(slots=True, frozen=True)
+class Need:
+    """What a request asks of its upstream.
+
+    ``versions`` are those it may run on (empty: any), ``regions`` where
+    it may run (empty: anywhere); ``hashed`` is that of its object.
+    """
+
+    service: str
+    versions: frozenset[str]
+    regions: frozenset[str]
+    hashed: int
+    rank: int
+    objective_s: float
+
+
+@dataclass(slots=True)
+class Backend:
+    """One upstream with its load and its connections."""
+
+    load: UpstreamLoad
+    pool: ConnectionPool
+    region: str
+    is_usable: bool = True
+
+    @property
+    def record(self) -> UpstreamRecord:
+        """Return the upstream's registration."""
+        return self.load.record
+
+
+@dataclass(slots=True, order=True)
+class _Waiter:
+    rank: int
+    number: int
+    need: Need = field(compare=False)
+    tried: frozenset[str] = field(compare=False)
+    place: Future[Backend] = field(compare=False)
+
+
+@dataclass(slots=True, frozen=True)
+class _RankName:
+    service: str
+    region: str
+    hashed: int
+
+
+@dataclass(slots=True)
+class _ServiceView:
+    """Demand, plan, queue and upstreams of one service."""
+
+    plan: RegionPlan
+    by_region: dict[str, list[Backend]] = field(default_factory=dict)
+    waiting: list[_Waiter] = field(default_factory=list)
+    asked: int = 0
+    demand: float = 0.0
+    work_s: float = FIRST_WORK_S
+    overflow: float = OVERFLOW_BURST
+
+
+class Selection:
+    """Chooses upstreams by region plan, affinity, load and pace."""
+
+    def __init__(
+        self, belief: Belief, region: str, regions: dict[str, str]
+    ) -> None:
+        self._belief = belief
+        self._region = region
+        self._regions = regions
+        self._backends: dict[str, Backend] = {}
+        self._services: dict[str, _ServiceView] = {}
+        self._ranks: dict[_RankName, list[Backend]] = {}
+        self._seen_changes = -1
+        self._first_seen = True
+        self._number = 0
+        self._suspicion = Suspicion()
+        self._peer_demand: dict[str, dict[str, float]] = {}
+        self._pacers: dict[str, int] = {}
+        self._measured_at = read_monotonic()
+
+    def close(self) -> None:
+        """Close all connections."""
+        for backend in self._backends.values():
+            backend.pool.close()
+
+    def list_demand(self) -> dict[str, float]:
+        """Return this instance's demand (1/s) by service."""
+        return {
+            name: round(view.demand, 2)
+            for name, view in self._services.items()
+        }
+
+    def follow_fleet(
+        self,
+        demand: dict[str, dict[str, float]],
+        pacers: dict[str, int],
+    ) -> None:
+        """Take peers' demand by region and service, and who paces.
+
+        ``pacers`` counts the instances that share the cold pace of a
+        region's upstreams, this one included; 0 where it has none.
+        """
+        self._peer_demand = demand
+        self._pacers = pacers
+
+    def update(self) -> None:
+        """Measure demand, move the plans and serve the queues."""
+        now = read_monotonic()
+        self._refresh(now)
+        span_s = max(0.05, now - self._measured_at)
+        self._measured_at = now
+        for name, view in self._services.items():
+            current = view.asked / span_s
+            view.asked = 0
+            view.demand += (current - view.demand) * DEMAND_WEIGHT
+            view.plan.update(self._list_loads(name, view), view.work_s, now)
+            self._serve_queue(view, now)
+
+    def note_work(self, service: str, work_s: float) -> None:
+        """Record how long an upstream of the own region worked."""
+        view = self._services.get(service)
+        if view is not None:
+            view.work_s += (work_s - view.work_s) * WORK_WEIGHT
+
+    def find_backend(self, name: str) -> Backend | None:
+        """Return an upstream that is still usable."""
+        self._refresh(read_monotonic())
+        backend = self._backends.get(name)
+        if backend is None or not backend.is_usable:
+            return None
+        return backend
+
+    async def take(
+        self, need: Need, tried: frozenset[str], deadline: float
+    ) -> Backend:
+        """Return an upstream with room, waiting a little for one.
+
+        :raises NoCapacity: when none has room in time.
+        """
+        now = read_monotonic()
+        self._refresh(now)
+        view = self._services.get(need.service)
+        if view is None:
+            raise _build_full(need)
+        if not tried:
+            view.asked += 1
+            view.overflow = min(OVERFLOW_BURST, view.overflow + OVERFLOW_PART)
+        backend = self._choose(view, need, tried, now)
+        if backend is not None:
+            backend.load.note_start(now)
+            return backend
+        limit_s = min(need.objective_s * WAIT_PART, deadline - now)
+        is_full = len(view.waiting) >= MAX_WAITING
+        if limit_s <= 0 or is_full or not self._has_any(view, need):
+            raise _build_full(need)
+        return await self._wait(view, need, tried, limit_s)
+
+    def release(self, backend: Backend) -> None:
+        """End an exchange and serve the next waiting request."""
+        backend.load.note_end()
+        view = self._services.get(backend.record.service)
+        if view is not None and view.waiting:
+            self._serve_queue(view, read_monotonic())
+
+    async def _wait(
+        self,
+        view: _ServiceView,
+        need: Need,
+        tried: frozenset[str],
+        limit_s: float,
+    ) -> Backend:
+        self._number += 1
+        place: Future[Backend] = get_running_loop().create_future()
+        waiter = _Waiter(need.rank, self._number, need, tried, place)
+        heappush(view.waiting, waiter)
+        try:
+            await wait({place}, timeout=limit_s)
+        finally:
+            if not place.done():
+                place.cancel()
+                view.waiting = [one for one in view.waiting if one != waiter]
+                view.waiting.sort()
+        if place.cancelled():
+            raise _build_full(need)
+        return place.result()
+
+    def _serve_queue(self, view: _ServiceView, now: float) -> None:
+        kept: list[_Waiter] = []
+        while view.waiting:
+            waiter = heappop(view.waiting)
+            if waiter.place.done():
+                continue
+            backend = self._choose(view, waiter.need, waiter.tried, now)
+            if backend is None:
+                kept.append(waiter)
+                continue
+            backend.load.note_start(now)
+            waiter.place.set_result(backend)
+        view.waiting = kept
+
+    def _has_any(self, view: _ServiceView, need: Need) -> bool:
+        return any(
+            _fits(backend, need, frozenset())
+            for backends in view.by_region.values()
+            for backend in backends
+        )
+
+    def _choose(
+        self,
+        view: _ServiceView,
+        need: Need,
+        tried: frozenset[str],
+        now: float,
+    ) -> Backend | None:
+        home = self._choose_region(view, need)
+        found = self._search(need, home, tried, now)
+        if found is not None:
+            return found
+        if view.overflow < 1:
+            return None
+        others = [name for name in view.by_region if name != home]
+        others.sort(key=lambda name: name != self._region)
+        for region in others:
+            if need.regions and region not in need.regions:
+                continue
+            found = self._search(need, region, tried, now)
+            if found is not None:
+                view.overflow -= region != self._region
+                return found
+        return None
+
+    def _choose_region(self, view: _ServiceView, need: Need) -> str:
+        region = view.plan.choose(need.hashed)
+        if not need.regions or region in need.regions:
+            return region
+        if self._region in need.regions:
+            return self._region
+        names = [name for name in view.by_region if name in need.regions]
+        return min(names, default=self._region)
+
+    def _search(
+        self, need: Need, region: str, tried: frozenset[str], now: float
+    ) -> Backend | None:
+        for backend in self._rank(need, region):
+            load = backend.load
+            if not _fits(backend, need, tried) or not load.can_take(now):
+                continue
+            if load.estimate(now) >= load.record.slots:
+                continue
+            if not load.has_pace(now, self._find_pace(backend)):
+                continue
+            return backend
+        return None
+
+    def _find_pace(self, backend: Backend) -> float:
+        """Return this instance's part of a cold upstream's rate."""
+        pacers = self._pacers.get(backend.region, 1)
+        catalog = self._belief.catalog
+        if pacers <= 0 or catalog is None:
+            return 0.0
+        service = catalog.services.get(backend.record.service)
+        return service.cold_rate / pacers if service is not None else 0.0
+
+    def _rank(self, need: Need, region: str) -> list[Backend]:
+        name = _RankName(need.service, region, need.hashed)
+        ranked = self._ranks.get(name)
+        if ranked is None:
+            if len(self._ranks) > MAX_RANKS:
+                self._ranks.clear()
+            view = self._services[need.service]
+            ranked = sorted(
+                view.by_region.get(region, ()),
+                key=lambda one: mix_hashes(need.hashed, one.load.seed),
+                reverse=True,
+            )
+            self._ranks[name] = ranked
+        return ranked
+
+    def _list_loads(
+        self, service: str, view: _ServiceView
+    ) -> dict[str, RegionLoad]:
+        loads = {}
+        for region in set(self._regions.values()):
+            backends = view.by_region.get(region, ())
+            slots = sum(one.record.slots for one in backends)
+            demand = self._peer_demand.get(region, {}).get(service, 0.0)
+            if region == self._region:
+                demand += view.demand
+            loads[region] = RegionLoad(demand, float(slots))
+        return loads
+
+    def _refresh(self, now: float) -> None:
+        """Take over what changed in the belief since the last call."""
+        if self._seen_changes == self._belief.changes:
+            return
+        self._seen_changes = self._belief.changes
+        self._ranks.clear()
+        self._follow_upstreams(now)
+        self._follow_services()
+        self._first_seen = self._first_seen and not self._backends
+
+    def _follow_upstreams(self, now: float) -> None:
+        records = self._belief.upstreams
+        for name in [one for one in self._backends if one not in records]:
+            self._retire(name)
+        for name, record in records.items():
+            known = self._backends.get(name)
+            if known is not None and _is_same(known.record, record):
+                self._renew(known, record, now)
+                continue
+            if known is not None:
+                self._retire(name)
+            self._add(record, now)
+        for backend in self._backends.values():
+            self._mark(backend, now)
+
+    def _add(self, record: UpstreamRecord, now: float) -> None:
+        cold_s = record.cold_s
+        load = UpstreamLoad(record, now + cold_s if cold_s > 0 else 0.0)
+        pool = ConnectionPool(record.address, self._suspicion)
+        region = self._regions.get(record.domain, "")
+        self._backends[record.name] = Backend(load, pool, region, False)
+
+    def _renew(
+        self, backend: Backend, record: UpstreamRecord, now: float
+    ) -> None:
+        if record.cold_s > 0 and record != backend.record:
+            until = now + record.cold_s
+            backend.load.cold_until = max(backend.load.cold_until, until)
+        backend.load.record = record
+
+    def _retire(self, name: str) -> None:
+        backend = self._backends.pop(name)
+        backend.is_usable = False
+        backend.pool.close()
+
+    def _mark(self, backend: Backend, now: float) -> None:
+        """Set whether an upstream may be used; cold after evacuation."""
+        record = backend.record
+        was_usable = backend.is_usable
+        is_evacuated = record.domain in self._belief.evacuated
+        backend.is_usable = record.is_ready and not is_evacuated
+        if is_evacuated:
+            backend.load.cold_until = float("inf")
+        elif backend.load.cold_until == float("inf"):
+            catalog = self._belief.catalog
+            service = catalog.services.get(record.service) if catalog else None
+            cold_s = service.cold_s if service is not None else 0.0
+            backend.load.cold_until = now + cold_s
+        if was_usable != backend.is_usable:
+            _log.info(
+                "Upstream %s of %s is %s.",
+                record.name,
+                record.service,
+                "in use" if backend.is_usable else "out of use",
+            )
+
+    def _follow_services(self) -> None:
+        for view in self._services.values():
+            view.by_region = {}
+        for backend in self._backends.values():
+            service = backend.record.service
+            view = self._services.get(service)
+            if view is None:
+                view = _ServiceView(RegionPlan(self._region))
+                self._services[service] = view
+            if backend.is_usable:
+                view.by_region.setdefault(backend.region, []).append(backend)
+
+
+def build_need(
+    route: EdgeRoute,
+    service: str,
+    versions: frozenset[str],
+    regions: frozenset[str],
+    *,
+    hashed: int,
+    rank: int,
+) -> Need:
+    """Return what a request on a route asks of its upstream."""
+    return Need(service, versions, regions, hashed, rank, route.objective_s)
+
+
+def _fits(backend: Backend, need: Need, tried: frozenset[str]) -> bool:
+    if not backend.is_usable or backend.record.name in tried:
+        return False
+    if need.versions and backend.record.version not in need.versions:
+        return False
+    return not need.regions or backend.region in need.regions
+
+
+def _is_same(first: UpstreamRecord, second: UpstreamRecord) -> bool:
+    """Tell whether two records are of one start of an upstream."""
+    return (
+        first.address == second.address
+        and first.service == second.service
+        and first.started_ms == second.started_ms
+    )
+
+
+def _build_full(need: Need) -> NoCapacity:
+    error = NoCapacity(
+        f"no upstream of {need.service} has room; come back later"
+    )
+    error.retry_after_s = RETRY_S
+    return error
--- /dev/null
+++ b/src/gypsummount/_edge/settings.py
@@ -0,0 +1,34 @@
+"""Settings of an edge process in the product's own terms."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class EdgeBounds:
+    """Times (s) and shares that a deployment asks for."""
+
+    revoke_s: float
+    grace_s: float
+    lookup_ttl_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class EdgeSettings:
+    """Where an edge listens and where it stands.
+
+    ``regions`` maps each failure domain to its region; ``seeds`` are
+    IPs of instances that may know others.
+    """
+
+    instance: str
+    host: str
+    domain: str
+    region: str
+    regions: dict[str, str]
+    listen: str
+    ready_listen: str
+    directory_listen: str
+    control_listen: str
+    peer_port: int
+    seeds: tuple[str, ...]
+    bounds: EdgeBounds
--- a/src/gypsummount/_entry/connections.py
+++ b/src/gypsummount/_entry/connections.py
@@ -28,7 +28,7 @@
 from tornado.iostream import StreamClosedError
 
 from gypsummount._common.clocks import read_monotonic
-from gypsummount._common.settings import split_address
+from gypsummount._common.sockets import split_address
 from gypsummount._core.sanitizing import Header
 from gypsummount.errors import GypsummountError
 
@@ -64,13 +64,20 @@
 
 @dataclass(slots=True, frozen=True)
 class UpstreamRequest:
-    """What is written to an upstream."""
+    """What is written to an upstream.
+
+    ``id_header`` carries the request's id, which the upstream echoes;
+    ``host`` is sent as it came from the caller, or else the address.
+    """
 
     method: str
     target: str
     headers: tuple[Header, ...]
     body: bytes
     request_id: str
+    id_header: str = REQUEST_ID_HEADER
+    host: str = ""
+    takes_unframed: bool = False
 
 
 @dataclass(slots=True)
@@ -117,6 +124,8 @@
         """Tell whether the upstream keeps the connection open."""
         if self.line is None or self.line.version != "HTTP/1.1":
             return False
+        if not self.is_framed:
+            return False
         return self.headers.get("Connection", "").lower() != "close"
 
 
@@ -163,8 +172,8 @@
         reader = _AnswerReader()
         try:
             await wait_for(self._talk(request, host, reader), limit_s)
-            answer = _build_answer(request, reader)
-            is_clean = reader.keeps_alive
+            answer = self._build_answer(request, reader)
+            is_clean = reader.keeps_alive and not self._stream.writing()
         except TimeoutError:
             raise ExchangeTimeout(
                 f"{host} gave no complete answer in {limit_s:.3f} s; "
@@ -184,12 +193,47 @@
                 self.close()
         return answer
 
+    def _build_answer(
+        self, request: UpstreamRequest, reader: _AnswerReader
+    ) -> UpstreamAnswer:
+        if reader.line is None or not reader.is_complete:
+            raise ExchangeError(
+                "the answer was cut short; look at the upstream", sent=True
+            )
+        if not reader.is_framed and request.method != "HEAD":
+            self._check_unframed(request)
+        echoed = reader.headers.get(request.id_header)
+        if echoed and echoed != request.request_id:
+            raise ExchangeError(
+                "the answer belongs to another request; look at the upstream",
+                sent=True,
+            )
+        headers = [
+            Header(name, value) for name, value in reader.headers.get_all()
+        ]
+        return UpstreamAnswer(
+            reader.line.code,
+            reader.line.reason,
+            headers,
+            b"".join(reader.chunks),
+        )
+
+    def _check_unframed(self, request: UpstreamRequest) -> None:
+        """Refuse a body without a length, unless its end is certain."""
+        if request.takes_unframed and self._stream.error is None:
+            return
+        raise ExchangeError(
+            "the answer has no length, so a cut cannot be told; let the "
+            "upstream send Content-Length or chunks",
+            sent=True,
+        )
+
     async def _talk(
         self, request: UpstreamRequest, host: str, reader: _AnswerReader
     ) -> None:
         parameters = HTTP1ConnectionParameters(max_body_size=MAX_ANSWER_BYTES)
         connection = HTTP1Connection(self._stream, True, parameters)
-        headers = _build_headers(request, host)
+        headers = _build_headers(request, request.host or host)
         line = RequestStartLine(request.method, request.target, "HTTP/1.1")
         connection.write_headers(line, headers, request.body or None)
         connection.finish()
@@ -203,35 +247,10 @@
         headers.add(line.name, line.value)
     if request.body or request.method in ("POST", "PUT", "PATCH"):
         headers["Content-Length"] = str(len(request.body))
-    headers[REQUEST_ID_HEADER] = request.request_id
+    headers[request.id_header] = request.request_id
     return headers
 
 
-def _build_answer(
-    request: UpstreamRequest, reader: _AnswerReader
-) -> UpstreamAnswer:
-    if reader.line is None or not reader.is_complete:
-        raise ExchangeError(
-            "the answer was cut short; look at the upstream", sent=True
-        )
-    if not reader.is_framed and request.method != "HEAD":
-        raise ExchangeError(
-            "the answer has no length, so a cut cannot be told; let the "
-            "upstream send Content-Length or chunks",
-            sent=True,
-        )
-    echoed = reader.headers.get(REQUEST_ID_HEADER)
-    if echoed and echoed != request.request_id:
-        raise ExchangeError(
-            "the answer belongs to another request; look at the upstream",
-            sent=True,
-        )
-    headers = [Header(name, value) for name, value in reader.headers.get_all()]
-    return UpstreamAnswer(
-        reader.line.code, reader.line.reason, headers, b"".join(reader.chunks)
-    )
-
-
 @dataclass(slots=True)
 class Suspicion:
     """When a connection was last found silent, for several pools.
--- a/src/gypsummount/_entry/process.py
+++ b/src/gypsummount/_entry/process.py
@@ -14,7 +14,7 @@
 from gypsummount._common.rpc import Channels
 from gypsummount._common.rpc import open_server
 from gypsummount._common.rpc import start_server
-from gypsummount._common.settings import bind_address
+from gypsummount._common.sockets import bind_address
 from gypsummount._common.tasks import repeat
 from gypsummount._common.tasks import start_task
 from gypsummount._common.wire import pack_entry
--- a/src/gypsummount/_standin/program.py
+++ b/src/gypsummount/_standin/program.py
@@ -7,10 +7,10 @@
 from typer import Option
 from typer import Typer
 
-from gypsummount._common.settings import bind_address
 from gypsummount._common.settings import check_address
-from gypsummount._common.settings import on_stop
 from gypsummount._common.settings import run_program
+from gypsummount._common.signals import on_stop
+from gypsummount._common.sockets import bind_address
 from gypsummount._config.model import RuleSet
 from gypsummount._config.parser import load_rules
 from gypsummount._standin.http import Answer
--- a/src/gypsummount/errors.py
+++ b/src/gypsummount/errors.py
@@ -47,6 +47,18 @@
     code = "store_conflict"
 
 
+class HistoryGone(StoreError):
+    """The store no longer has the changes after a revision."""
+
+    code = "history_gone"
+
+
+class RecordInvalid(GypsummountError):
+    """An object of the store cannot be read; another writer's, perhaps."""
+
+    code = "record_invalid"
+
+
 class RequestError(GypsummountError):
     """A request that the system answers itself.
 
@@ -56,7 +68,7 @@
     code = "refused"
     status = 503
     outcome = Outcome.NOT_RUN
-    retry_after_s: int | None = None
+    retry_after_s: float | None = None
 
 
 class KeyMissing(RequestError):
--- /dev/null
+++ b/src/gypsummount/platform/__main__.py
@@ -0,0 +1,48 @@
+"""The program that the platform starts on each instance."""
+
+from asyncio import run
+from contextlib import AsyncExitStack
+import sys
+
+from gypsummount._common.logs import configure_logs
+from gypsummount._common.logs import get_logger
+from gypsummount._common.signals import on_stop
+from gypsummount._edge.process import EdgeProcess
+from gypsummount.errors import SettingError
+from gypsummount.platform.interfaces import Interfaces
+from gypsummount.platform.settings import find_path
+from gypsummount.platform.settings import read_settings
+from gypsummount.platform.store import StoreClient
+from gypsummount.platform.wire import PlatformWire
+
+USAGE_EXIT = 2
+
+_log = get_logger("program")
+
+
+async def serve() -> None:
+    """Serve until the platform asks the process to end."""
+    settings = read_settings(find_path())
+    feed = StoreClient(settings.store)
+    process = EdgeProcess(settings.edge, feed, PlatformWire())
+    on_stop(process.stop)
+    async with AsyncExitStack() as stack:
+        interfaces = Interfaces(process, settings.edge)
+        stack.push_async_callback(interfaces.close)
+        interfaces.listen()
+        await process.run()
+
+
+def main() -> int:
+    """Run the program and return its exit code."""
+    configure_logs("info", "edge")
+    try:
+        run(serve())
+    except SettingError as error:
+        _log.error("Not started: %s", error)
+        return USAGE_EXIT
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/gypsummount/platform/documents.py
@@ -0,0 +1,168 @@
+"""Decoding of the store's documents into the product's types."""
+
+from json import loads
+from typing import Any
+
+from gypsummount._core.catalog import CallerLimits
+from gypsummount._core.catalog import Catalog
+from gypsummount._core.catalog import Destination
+from gypsummount._core.catalog import EdgeRoute
+from gypsummount._core.catalog import EdgeService
+from gypsummount._core.catalog import EdgeWorkspace
+from gypsummount._core.catalog import RolloutOrder
+from gypsummount._core.catalog import UpstreamRecord
+from gypsummount._edge.feed import InstanceRecord
+from gypsummount._edge.feed import Kind
+from gypsummount._edge.feed import Record
+from gypsummount._edge.feed import Value
+from gypsummount.errors import RecordInvalid
+
+CONFIG_NAME = "main"
+DEFAULT_TIMEOUT_S = 30.0
+DEFAULT_ATTEMPTS = 1
+STATES = ("ready", "draining")
+
+
+def decode_record(record: Record) -> Value:
+    """Return the value of a record; None for one that only exists.
+
+    :raises RecordInvalid: when it cannot be read.
+    """
+    try:
+        raw = loads(record.payload)
+        body = raw["specification"]
+        if record.kind is Kind.CATALOG:
+            return _decode_catalog(body)
+        if record.kind is Kind.UPSTREAM:
+            return _decode_upstream(record.name, body)
+        if record.kind is Kind.ROLLOUT:
+            return _decode_rollout(record, raw)
+        if record.kind is Kind.INSTANCE:
+            return InstanceRecord(record.name, _read_text(body, "host"))
+        return None
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise RecordInvalid(
+            f"it is incomplete or of another shape ({error!r}); look who "
+            "writes it"
+        ) from None
+
+
+def _decode_catalog(body: dict[str, Any]) -> Catalog:
+    limits = body["limits"]
+    catalog = Catalog(
+        int(body["version"]),
+        CallerLimits(float(limits["idleTimeoutS"]), int(limits["bodyBytes"])),
+    )
+    for raw in body["clusters"]:
+        catalog.services[raw["name"]] = EdgeService(
+            raw["name"],
+            float(raw.get("coldStartS") or 0.0),
+            float(raw.get("coldPerS") or 0.0),
+        )
+    for raw in body.get("tenants") or ():
+        workspace = _decode_workspace(raw)
+        catalog.workspaces[workspace.name] = workspace
+        for key in raw["apiKeys"]:
+            catalog.owners[key] = workspace.name
+    for listener in body["listeners"]:
+        for rule in listener["rules"]:
+            catalog.add_route(_decode_route(listener["host"], rule))
+    return catalog
+
+
+def _decode_workspace(raw: dict[str, Any]) -> EdgeWorkspace:
+    return EdgeWorkspace(
+        raw["name"],
+        float(raw.get("requestsPerS") or 0.0),
+        float(raw.get("burst") or 0.0),
+        int(raw.get("priority") or 0),
+        frozenset(raw.get("homeRegions") or ()),
+    )
+
+
+def _decode_route(host: str, raw: dict[str, Any]) -> EdgeRoute:
+    action = raw["action"]
+    timeout_s = float(action.get("timeoutS") or DEFAULT_TIMEOUT_S)
+    return EdgeRoute(
+        name=raw["name"],
+        host=host,
+        prefix=raw["match"]["pathPrefix"],
+        destinations=_decode_destinations(action),
+        repeatable=raw["kind"] == "safe",
+        is_open=bool(raw.get("public")),
+        is_sticky=bool(raw.get("sticky")),
+        timeout_s=timeout_s,
+        objective_s=float(raw.get("targetLatencyS") or timeout_s),
+        attempts=int(action.get("attempts") or DEFAULT_ATTEMPTS),
+        priority=int(raw.get("priority") or 0),
+        home_regions=frozenset(action.get("homeRegions") or ()),
+    )
+
+
+def _decode_destinations(action: dict[str, Any]) -> tuple[Destination, ...]:
+    parts = action.get("trafficSplit")
+    if not parts:
+        return (Destination(action["service"], 1.0),)
+    return tuple(
+        Destination(part["service"], float(part["weight"]))
+        for part in parts
+        if float(part["weight"]) > 0
+    )
+
+
+def _decode_upstream(name: str, body: dict[str, Any]) -> UpstreamRecord:
+    state = _read_text(body, "state")
+    if state not in STATES:
+        raise ValueError(f"state '{state}'")
+    address = _read_text(body, "address")
+    if not address.rpartition(":")[2].isdecimal():
+        raise ValueError(f"address '{address}'")
+    slots = _read_whole(body, "slots")
+    if slots < 1:
+        raise ValueError("slots below 1")
+    _read_whole(body, "sequence")
+    cold_s = body["coldRemainingS"]
+    if isinstance(cold_s, bool) or not isinstance(cold_s, (int, float)):
+        raise ValueError("coldRemainingS")
+    born = body.get("born", 0)
+    if isinstance(born, bool) or not isinstance(born, int):
+        raise ValueError("born")
+    return UpstreamRecord(
+        name,
+        _read_text(body, "service"),
+        address,
+        _read_text(body, "zone"),
+        _read_text(body, "version"),
+        slots,
+        state == "ready",
+        float(cold_s),
+        born,
+    )
+
+
+def _decode_rollout(record: Record, raw: dict[str, Any]) -> RolloutOrder:
+    body = raw["specification"]
+    status = raw.get("status") or {}
+    return RolloutOrder(
+        body["service"],
+        body["targetVersion"],
+        float(body["durationS"]),
+        record.revision,
+        int(raw["metadata"]["created"]),
+        str(status.get("state") or ""),
+        str(status.get("targetVersion") or ""),
+    )
+
+
+def _read_text(body: dict[str, Any], name: str) -> str:
+    value = body[name]
+    if not isinstance(value, str) or not value:
+        raise ValueError(name)
+    return value
+
+
+def _read_whole(body: dict[str, Any], name: str) -> int:
+    value = body[name]
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise ValueError(name)
+    return value
--- /dev/null
+++ b/src/gypsummount/platform/interfaces.py
@@ -0,0 +1,69 @@
+"""The platform's readiness, directory and metrics interfaces."""
+
+from json import dumps
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPServerRequest
+
+from gypsummount._common.sockets import bind_address
+from gypsummount._edge.digests import SERVING
+from gypsummount._edge.directory import find_addresses
+from gypsummount._edge.front import write_plain
+from gypsummount._edge.process import EdgeProcess
+from gypsummount._edge.settings import EdgeSettings
+
+READY_PATH = "/-/readiness"
+RESOLVE_PATH = "/-/resolve"
+
+
+class Interfaces:
+    """Small servers beside the one for callers' requests."""
+
+    def __init__(self, process: EdgeProcess, settings: EdgeSettings) -> None:
+        self._process = process
+        self._settings = settings
+        self._servers: list[HTTPServer] = []
+
+    def listen(self) -> None:
+        """Begin to accept connections on every interface."""
+        settings = self._settings
+        addresses = {
+            settings.ready_listen,
+            settings.directory_listen,
+            settings.control_listen,
+        }
+        for address in addresses - {""}:
+            server = HTTPServer(self._receive)
+            server.add_sockets(bind_address("listen", address))
+            self._servers.append(server)
+
+    async def close(self) -> None:
+        """Drop all connections."""
+        for server in self._servers:
+            server.stop()
+            await server.close_all_connections()
+
+    def _receive(self, request: HTTPServerRequest) -> None:
+        if request.path == READY_PATH:
+            is_ready = self._process.phase == SERVING
+            status = 200 if is_ready else 503
+            write_plain(request, status, "text/plain", b"")
+        elif request.path == RESOLVE_PATH:
+            self._resolve(request)
+        else:
+            write_plain(request, 404, "text/plain", b"")
+
+    def _resolve(self, request: HTTPServerRequest) -> None:
+        regions = request.arguments.get("region", [b""])
+        region = regions[-1].decode("utf-8", "replace")
+        addresses = find_addresses(self._process.list_named(), region)
+        if not addresses:
+            write_plain(request, 503, "text/plain", b"no instance serves\n")
+            return
+        body = dumps(
+            {
+                "addresses": addresses,
+                "ttlS": self._settings.bounds.lookup_ttl_s,
+            }
+        )
+        write_plain(request, 200, "application/json", body.encode())
--- /dev/null
+++ b/src/gypsummount/platform/wire.py
@@ -0,0 +1,152 @@
+"""Headers of the platform's callers and upstreams."""
+
+from typing import final
+
+from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPServerRequest
+
+from gypsummount._core.sanitizing import Header
+from gypsummount._core.sanitizing import HOP_BY_HOP
+from gypsummount._edge.wire import Arrival
+from gypsummount._edge.wire import LoadReport
+from gypsummount._edge.wire import Verdict
+from gypsummount._edge.wire import Wire
+from gypsummount._entry.connections import UpstreamAnswer
+from gypsummount._entry.connections import UpstreamRequest
+from gypsummount.errors import KeyRefused
+from gypsummount.errors import RequestError
+
+REQUEST_ID = "Gypsummount-Request-Id"
+DEADLINE = "Gypsummount-Deadline-Milliseconds"
+EXPECTED = "Gypsummount-Expected-Instance"
+WORKSPACE = "Gypsummount-Tenant-Name"
+KEY = "Api-Key"
+AFFINITY_COOKIE = "Gypsummount-Affinity-Key"
+NOT_EXECUTED = "gypsummount-not-executed"
+LOAD = "gypsummount-server-load"
+UNAUTHORIZED = 401
+MISDIRECTED = 421
+MS_PER_S = 1000
+SET_HERE = frozenset(
+    name.lower() for name in (REQUEST_ID, DEADLINE, EXPECTED, WORKSPACE, KEY)
+)
+NOT_FORWARDED = SET_HERE | HOP_BY_HOP
+
+
+@final
+class PlatformWire(Wire):
+    """Translates requests and answers."""
+
+    id_header = REQUEST_ID
+
+    def read_arrival(self, request: HTTPServerRequest) -> Arrival:
+        """Return the caller's request."""
+        headers = request.headers
+        key = headers.get(KEY)
+        return Arrival(
+            request_id=headers.get(REQUEST_ID, ""),
+            host=headers.get("Host", "").partition(":")[0],
+            method=request.method,
+            target=request.uri,
+            path=request.path,
+            headers=_list_forwarded(headers, key),
+            body=request.body,
+            key=key,
+            affinity=_read_affinity(headers.get("Cookie")),
+            patience_s=_read_patience(headers.get(DEADLINE)),
+        )
+
+    def build_request(
+        self,
+        arrival: Arrival,
+        upstream: str,
+        workspace: str | None,
+        left_s: float,
+    ) -> UpstreamRequest:
+        """Return what is sent to an upstream."""
+        left_ms = max(1, int(left_s * MS_PER_S))
+        headers = [
+            *arrival.headers,
+            Header(DEADLINE, str(left_ms)),
+            Header(EXPECTED, upstream),
+        ]
+        if workspace is not None:
+            headers.append(Header(WORKSPACE, workspace))
+        return UpstreamRequest(
+            arrival.method,
+            arrival.target,
+            tuple(headers),
+            arrival.body,
+            arrival.request_id,
+            REQUEST_ID,
+            arrival.host,
+            takes_unframed=True,
+        )
+
+    def read_verdict(self, answer: UpstreamAnswer) -> Verdict:
+        """Return what the answer's head tells."""
+        ran = answer.status != MISDIRECTED
+        load: LoadReport | None = None
+        for line in answer.headers:
+            name = line.name.lower()
+            if name == NOT_EXECUTED:
+                ran = False
+            elif name == LOAD:
+                load = _read_load(line.value)
+        return Verdict(ran, answer.status == MISDIRECTED, load)
+
+    def list_answer_headers(self, answer: UpstreamAnswer) -> list[Header]:
+        """Return the headers that go back to the caller."""
+        return [
+            line
+            for line in answer.headers
+            if line.name.lower() not in HOP_BY_HOP
+        ]
+
+    def find_status(self, error: RequestError) -> int:
+        """Return the status; the platform calls any bad key 401."""
+        if isinstance(error, KeyRefused):
+            return UNAUTHORIZED
+        return error.status
+
+
+def _list_forwarded(
+    headers: HTTPHeaders, key: str | None
+) -> tuple[Header, ...]:
+    """Return the headers that upstreams may see, none with the key."""
+    named = {
+        name.strip().lower()
+        for name in headers.get("Connection", "").split(",")
+    }
+    return tuple(
+        Header(name, value)
+        for name, value in headers.get_all()
+        if name.lower() not in NOT_FORWARDED
+        and name.lower() not in named
+        and not (key and key in value)
+    )
+
+
+def _read_affinity(cookie: str | None) -> str | None:
+    if not cookie:
+        return None
+    for part in cookie.split(";"):
+        name, _, value = part.strip().partition("=")
+        if name == AFFINITY_COOKIE:
+            return value
+    return None
+
+
+def _read_patience(text: str | None) -> float | None:
+    """Return the caller's deadline in seconds, if it is a number."""
+    if text is None or not text.isdecimal():
+        return None
+    return max(1, int(text)) / MS_PER_S
+
+
+def _read_load(text: str) -> LoadReport | None:
+    """Return the load; the text is "running,waiting,slots"."""
+    parts = text.split(",")
+    if len(parts) < 2 or not all(one.strip().isdecimal() for one in parts):
+        return None
+    return LoadReport(int(parts[0]), int(parts[1]))
--- a/tests/entry/lone.py
+++ b/tests/entry/lone.py
@@ -9,7 +9,7 @@
 from tornado.httpclient import HTTPResponse
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
-from gypsummount._common.settings import bind_address
+from gypsummount._common.sockets import bind_address
 from gypsummount._common.wire import pack_amount
 from gypsummount._common.wire import pack_key
 from gypsummount._core.amounts import Amount
--- a/tests/entry/test_settings.py
+++ b/tests/entry/test_settings.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from gypsummount._common.settings import bind_address
+from gypsummount._common.sockets import bind_address
 from gypsummount._demo.fleet import Ports
 
 BIN = Path(sys.executable).parent
--- a/tests/fleet/test_ports.py
+++ b/tests/fleet/test_ports.py
@@ -1,6 +1,6 @@
 """Addresses of fleets that run beside each other."""
 
-from gypsummount._common.settings import bind_address
+from gypsummount._common.sockets import bind_address
 from gypsummount._demo.fleet import Ports
 
 COUNT = 300
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -7,7 +7,7 @@
 import pytest
 from pytest_asyncio import fixture
 
-from gypsummount._common.settings import bind_address
+from gypsummount._common.sockets import bind_address
 from gypsummount._demo.fleet import Ports
 from gypsummount._standin.http import TinyServer
 from gypsummount._standin.store import StoreStandin
