Choose upstreams by expected delay; give quota shares a burst

Ruled out: quota beyond the limit (not owed: 12 requests). The first seconds are cold everywhere and stay weak.

--- a/src/gypsummount/_core/backlog.py
+++ b/src/gypsummount/_core/backlog.py
@@ -4,6 +4,12 @@
 from gypsummount._core.placement import hash_name
 
 REPORT_FADE_S = 0.5
+WORK_WEIGHT = 0.02
+FIRST_WORK_S = 0.2
+FIRST_RATIO = 2.0
+MOST_LOAD = 2.0
+SECOND_PART = 0.7
+LEAST_EXTRA_S = 0.02
 FAULTS_TO_EJECT = 3
 FIRST_EJECTION_S = 0.5
 LONGEST_EJECTION_S = 4.0
@@ -13,6 +19,43 @@
 RETURN_COLD_S = 1.0
 
 
+class ServiceWork:
+    """How long the upstreams of a service work, by their place.
+
+    The first upstream in an object's order usually knows the object;
+    the difference to the others is what it costs to leave it.
+    """
+
+    __slots__ = ("first_s", "other_s")
+
+    def __init__(self) -> None:
+        self.first_s = FIRST_WORK_S
+        self.other_s = FIRST_WORK_S * FIRST_RATIO
+
+    def observe(self, position: int, work_s: float) -> None:
+        """Record one answer of the upstream at a place."""
+        if position == 0:
+            self.first_s += (work_s - self.first_s) * WORK_WEIGHT
+        else:
+            self.other_s += (work_s - self.other_s) * WORK_WEIGHT
+
+    def find_cost(
+        self, position: int, load: float, slots: int
+    ) -> float | None:
+        """Return the delay (s) beyond that of an idle first upstream.
+
+        None means that the upstream has too much waiting.
+        """
+        if load >= slots * MOST_LOAD:
+            return None
+        waiting = max(0.0, load + 1 - slots)
+        cost_s = waiting * self.first_s / slots
+        if position == 0:
+            return cost_s
+        extra_s = max(LEAST_EXTRA_S, self.other_s - self.first_s)
+        return cost_s + extra_s * (SECOND_PART if position == 1 else 1.0)
+
+
 class UpstreamLoad:
     """Own requests, reported load, faults and cold pace."""
 
--- a/src/gypsummount/_core/placement.py
+++ b/src/gypsummount/_core/placement.py
@@ -18,6 +18,7 @@
 LOCAL_UTILISATION = 0.6
 MAX_STEP_PER_S = 0.04
 LEAST_MOVE = 0.03
+EXPECTED_UTILISATION = 0.4
 
 
 def hash_object(text: str) -> int:
@@ -111,6 +112,24 @@
             self.parts[name] = self.parts.get(name, 0.0) + gap * scale
 
 
+def add_expected(
+    loads: dict[str, RegionLoad], work_s: float
+) -> dict[str, RegionLoad]:
+    """Return loads with an expected demand mixed in, equal by region.
+
+    It stands for demand that is not measured yet, so that a start or a
+    lull does not undo the plan.
+    """
+    slots = sum(load.slots for load in loads.values())
+    demand = sum(load.demand for load in loads.values())
+    usual = EXPECTED_UTILISATION * slots / max(0.01, work_s)
+    missing = max(0.0, usual - demand) / max(1, len(loads))
+    return {
+        name: RegionLoad(load.demand + missing, load.slots)
+        for name, load in loads.items()
+    }
+
+
 def find_target(
     region: str, loads: dict[str, RegionLoad], work_s: float
 ) -> dict[str, float]:
--- a/src/gypsummount/_core/quotas.py
+++ b/src/gypsummount/_core/quotas.py
@@ -10,9 +10,9 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-BURST_PART = 0.5
+BURST_PART = 0.9
 LEAST_BURST = 2.0
-EQUAL_DEMAND = 0.05
+EQUAL_DEMAND = 0.2
 FULL = float("inf")
 DEMAND_WEIGHT = 0.4
 
@@ -53,27 +53,43 @@
         self._measured_at: float | None = None
         self._start_share = start_share
 
-    def try_take(
-        self, workspace: str, rate: float, burst: float, now: float
-    ) -> bool:
-        """Take a token of a workspace; False when it has none left."""
+    def take(
+        self,
+        workspace: str,
+        rate: float,
+        burst: float,
+        now: float,
+        *,
+        patience_s: float,
+    ) -> float | None:
+        """Take a token and return the seconds to wait before using it.
+
+        A token that comes within ``patience_s`` is taken ahead.  None
+        means that none comes in that time.
+        """
         bucket = self._find(workspace, now)
         bucket.offered += 1
         if rate <= 0:
-            return True
+            return 0.0
+        flow = rate * bucket.share
         size = max(LEAST_BURST, burst * bucket.share * BURST_PART)
-        gained = (now - bucket.filled_at) * rate * bucket.share
+        gained = (now - bucket.filled_at) * flow
         bucket.tokens = min(size, bucket.tokens + gained)
         bucket.filled_at = now
-        if bucket.tokens < 1:
-            return False
+        if bucket.tokens + flow * patience_s < 1:
+            return None
         bucket.tokens -= 1
-        return True
+        return max(0.0, -bucket.tokens / flow) if flow > 0 else 0.0
 
     def put_back(self, workspace: str) -> None:
         """Return the token of a request that was not sent."""
         self._buckets[workspace].tokens += 1
 
+    def find_share(self, workspace: str) -> float:
+        """Return this instance's share of a rate, 0 to 1."""
+        bucket = self._buckets.get(workspace)
+        return bucket.share if bucket is not None else 0.0
+
     def find_wait(self, workspace: str, rate: float) -> float:
         """Return the seconds until the next token, at least."""
         bucket = self._buckets[workspace]
--- a/src/gypsummount/_edge/proxy.py
+++ b/src/gypsummount/_edge/proxy.py
@@ -1,5 +1,6 @@
 """The way of one request: admission, selection, exchange, answer."""
 
+from asyncio import sleep
 from dataclasses import dataclass
 
 from gypsummount._common.clocks import read_monotonic
@@ -17,6 +18,7 @@
 from gypsummount._edge.selection import Backend
 from gypsummount._edge.selection import build_need
 from gypsummount._edge.selection import Need
+from gypsummount._edge.selection import Pick
 from gypsummount._edge.selection import Selection
 from gypsummount._edge.wire import Arrival
 from gypsummount._edge.wire import Verdict
@@ -40,6 +42,7 @@
 LEAST_SEND_S = 0.02
 SHED_PAUSE_S = 0.1
 RANK_SPAN = 100
+TOKEN_WAIT_PART = 0.4
 SERVER_ERROR = 500
 CERTAIN_AGE_S = 2.0
 
@@ -99,6 +102,7 @@
         if case.canary is not None and not case.is_new:
             case.canary.in_flight_old += 1
         try:
+            await self._admit(case)
             return await self._run_tries(case)
         finally:
             if case.canary is not None and not case.is_new:
@@ -117,8 +121,6 @@
         need = self._build_need(route, workspace, arrival)
         case = Case(arrival, route, workspace, started + limit_s, need, need)
         self._choose_version(case)
-        if workspace is not None:
-            self._admit(case, workspace)
         return case
 
     def _find_route(self, catalog: Catalog, arrival: Arrival) -> EdgeRoute:
@@ -208,32 +210,53 @@
             return case.need.hashed
         return hash_object(canary.order.service)
 
-    def _admit(self, case: Case, workspace: EdgeWorkspace) -> None:
-        now = read_monotonic()
-        rate = workspace.rate
-        if self._quotas.try_take(workspace.name, rate, workspace.burst, now):
-            case.has_token = True
+    async def _admit(self, case: Case) -> None:
+        """Take a token of the workspace's rate, waiting a little for it.
+
+        :raises RateExceeded: when none comes in time.
+        """
+        workspace = case.workspace
+        if workspace is None:
             return
-        error = RateExceeded("the workspace is over its rate; come back later")
+        wait_s = self._quotas.take(
+            workspace.name,
+            workspace.rate,
+            workspace.burst,
+            read_monotonic(),
+            patience_s=case.route.objective_s * TOKEN_WAIT_PART,
+        )
+        if wait_s is None:
+            raise self._build_over(workspace)
+        case.has_token = True
+        if wait_s > 0:
+            await sleep(wait_s)
+
+    def _build_over(self, workspace: EdgeWorkspace) -> RateExceeded:
+        rate = workspace.rate
+        share = self._quotas.find_share(workspace.name)
+        error = RateExceeded(
+            f"workspace {workspace.name} is over its rate of {rate:g}/s, of "
+            f"which this instance has {share:.3f}; come back later"
+        )
         error.retry_after_s = self._quotas.find_wait(workspace.name, rate)
-        raise error
+        return error
 
     async def _run_tries(self, case: Case) -> UpstreamAnswer:
         tried: frozenset[str] = frozenset()
         self._repeats.note_first(case.need.service)
         while True:
-            backend = await self._take(case, tried)
-            tried = tried | {backend.record.name}
+            pick = await self._take(case, tried)
+            tried = tried | {pick.backend.record.name}
             try:
-                answer = await self._send(case, backend)
+                answer = await self._send(case, pick)
             except ExchangeError as error:
-                self._judge_failure(case, backend, error)
+                self._judge_failure(case, pick.backend, error)
                 continue
             verdict = self._wire.read_verdict(answer)
-            if self._is_final(case, backend, answer, verdict):
+            if self._is_final(case, answer, verdict):
                 return answer
 
-    async def _take(self, case: Case, tried: frozenset[str]) -> Backend:
+    async def _take(self, case: Case, tried: frozenset[str]) -> Pick:
         try:
             return await self._selection.take(case.need, tried, case.deadline)
         except NoCapacity:
@@ -245,7 +268,7 @@
                 ) from None
             raise
 
-    async def _take_old(self, case: Case, tried: frozenset[str]) -> Backend:
+    async def _take_old(self, case: Case, tried: frozenset[str]) -> Pick:
         """Fall back to the old version when the new one is full."""
         canary = case.canary
         if canary.has_moved(read_monotonic()):
@@ -256,8 +279,9 @@
         case.need = case.old_need
         return await self._selection.take(case.need, tried, case.deadline)
 
-    async def _send(self, case: Case, backend: Backend) -> UpstreamAnswer:
+    async def _send(self, case: Case, pick: Pick) -> UpstreamAnswer:
         now = read_monotonic()
+        backend = pick.backend
         left_s = case.deadline - now
         is_sent = False
         try:
@@ -279,7 +303,7 @@
         finally:
             self._selection.release(backend)
         if is_sent:
-            self._note_answer(case, backend, answer, read_monotonic() - now)
+            self._note_answer(case, pick, answer, read_monotonic() - now)
         return answer
 
     def _check_sendable(
@@ -299,11 +323,12 @@
     def _note_answer(
         self,
         case: Case,
-        backend: Backend,
+        pick: Pick,
         answer: UpstreamAnswer,
         latency_s: float,
     ) -> None:
         now = read_monotonic()
+        backend = pick.backend
         verdict = self._wire.read_verdict(answer)
         if verdict.load is not None:
             report = verdict.load
@@ -316,8 +341,7 @@
             backend.load.note_fault(now)
         else:
             backend.load.note_success(latency_s)
-            if backend.region == self._region:
-                self._selection.note_work(case.need.service, latency_s)
+            self._selection.note_work(case.need.service, pick, latency_s)
         self._observe(case, failed=failed, latency_s=latency_s)
 
     def _observe(self, case: Case, *, failed: bool, latency_s: float) -> None:
@@ -332,7 +356,6 @@
     def _is_final(
         self,
         case: Case,
-        backend: Backend,
         answer: UpstreamAnswer,
         verdict: Verdict,
     ) -> bool:
--- a/src/gypsummount/_edge/selection.py
+++ b/src/gypsummount/_edge/selection.py
@@ -10,9 +10,11 @@
 
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.logs import get_logger
+from gypsummount._core.backlog import ServiceWork
 from gypsummount._core.backlog import UpstreamLoad
 from gypsummount._core.catalog import EdgeRoute
 from gypsummount._core.catalog import UpstreamRecord
+from gypsummount._core.placement import add_expected
 from gypsummount._core.placement import mix_hashes
 from gypsummount._core.placement import RegionLoad
 from gypsummount._core.placement import RegionPlan
@@ -27,8 +29,7 @@
 OVERFLOW_PART = 0.06
 OVERFLOW_BURST = 4.0
 DEMAND_WEIGHT = 0.3
-WORK_WEIGHT = 0.02
-FIRST_WORK_S = 0.2
+MOST_COMPARED = 4
 RETRY_S = 0.25
 MAX_RANKS = 20_000
 
@@ -66,13 +67,21 @@
         return self.load.record
 
 
+@dataclass(slots=True, frozen=True)
+class Pick:
+    """A chosen upstream and its place in the order of the object."""
+
+    backend: Backend
+    position: int
+
+
 @dataclass(slots=True, order=True)
 class _Waiter:
     rank: int
     number: int
     need: Need = field(compare=False)
     tried: frozenset[str] = field(compare=False)
-    place: Future[Backend] = field(compare=False)
+    place: Future[Pick] = field(compare=False)
 
 
 @dataclass(slots=True, frozen=True)
@@ -91,7 +100,7 @@
     waiting: list[_Waiter] = field(default_factory=list)
     asked: int = 0
     demand: float = 0.0
-    work_s: float = FIRST_WORK_S
+    work: ServiceWork = field(default_factory=ServiceWork)
     overflow: float = OVERFLOW_BURST
 
 
@@ -150,26 +159,20 @@
             current = view.asked / span_s
             view.asked = 0
             view.demand += (current - view.demand) * DEMAND_WEIGHT
-            view.plan.update(self._list_loads(name, view), view.work_s, now)
+            view.plan.update(
+                self._list_loads(name, view), view.work.first_s, now
+            )
             self._serve_queue(view, now)
 
-    def note_work(self, service: str, work_s: float) -> None:
+    def note_work(self, service: str, pick: Pick, work_s: float) -> None:
         """Record how long an upstream of the own region worked."""
         view = self._services.get(service)
-        if view is not None:
-            view.work_s += (work_s - view.work_s) * WORK_WEIGHT
-
-    def find_backend(self, name: str) -> Backend | None:
-        """Return an upstream that is still usable."""
-        self._refresh(read_monotonic())
-        backend = self._backends.get(name)
-        if backend is None or not backend.is_usable:
-            return None
-        return backend
+        if view is not None and pick.backend.region == self._region:
+            view.work.observe(pick.position, work_s)
 
     async def take(
         self, need: Need, tried: frozenset[str], deadline: float
-    ) -> Backend:
+    ) -> Pick:
         """Return an upstream with room, waiting a little for one.
 
         :raises NoCapacity: when none has room in time.
@@ -182,10 +185,10 @@
         if not tried:
             view.asked += 1
             view.overflow = min(OVERFLOW_BURST, view.overflow + OVERFLOW_PART)
-        backend = self._choose(view, need, tried, now)
-        if backend is not None:
-            backend.load.note_start(now)
-            return backend
+        pick = self._choose(view, need, tried, now)
+        if pick is not None:
+            pick.backend.load.note_start(now)
+            return pick
         limit_s = min(need.objective_s * WAIT_PART, deadline - now)
         is_full = len(view.waiting) >= MAX_WAITING
         if limit_s <= 0 or is_full or not self._has_any(view, need):
@@ -205,9 +208,9 @@
         need: Need,
         tried: frozenset[str],
         limit_s: float,
-    ) -> Backend:
+    ) -> Pick:
         self._number += 1
-        place: Future[Backend] = get_running_loop().create_future()
+        place: Future[Pick] = get_running_loop().create_future()
         waiter = _Waiter(need.rank, self._number, need, tried, place)
         heappush(view.waiting, waiter)
         try:
@@ -227,12 +230,12 @@
             waiter = heappop(view.waiting)
             if waiter.place.done():
                 continue
-            backend = self._choose(view, waiter.need, waiter.tried, now)
-            if backend is None:
+            pick = self._choose(view, waiter.need, waiter.tried, now)
+            if pick is None:
                 kept.append(waiter)
                 continue
-            backend.load.note_start(now)
-            waiter.place.set_result(backend)
+            pick.backend.load.note_start(now)
+            waiter.place.set_result(pick)
         view.waiting = kept
 
     def _has_any(self, view: _ServiceView, need: Need) -> bool:
@@ -248,9 +251,9 @@
         need: Need,
         tried: frozenset[str],
         now: float,
-    ) -> Backend | None:
+    ) -> Pick | None:
         home = self._choose_region(view, need)
-        found = self._search(need, home, tried, now)
+        found = self._search(view, need, home, tried, now)
         if found is not None:
             return found
         if view.overflow < 1:
@@ -260,7 +263,7 @@
         for region in others:
             if need.regions and region not in need.regions:
                 continue
-            found = self._search(need, region, tried, now)
+            found = self._search(view, need, region, tried, now)
             if found is not None:
                 view.overflow -= region != self._region
                 return found
@@ -276,18 +279,40 @@
         return min(names, default=self._region)
 
     def _search(
-        self, need: Need, region: str, tried: frozenset[str], now: float
-    ) -> Backend | None:
+        self,
+        view: _ServiceView,
+        need: Need,
+        region: str,
+        tried: frozenset[str],
+        now: float,
+    ) -> Pick | None:
+        """Return the upstream that is likely to answer first.
+
+        The first in an object's order knows it; another costs the
+        extra work of one that does not.
+        """
+        best: Pick | None = None
+        least_s = 0.0
+        position = -1
         for backend in self._rank(need, region):
-            load = backend.load
-            if not _fits(backend, need, tried) or not load.can_take(now):
+            if not _fits(backend, need, tried):
                 continue
-            if load.estimate(now) >= load.record.slots:
+            position += 1
+            cost_s = view.work.find_cost(
+                position, backend.load.estimate(now), backend.record.slots
+            )
+            if cost_s is None or (best is not None and cost_s >= least_s):
+                continue
+            load = backend.load
+            if not load.can_take(now):
                 continue
             if not load.has_pace(now, self._find_pace(backend)):
                 continue
-            return backend
-        return None
+            best = Pick(backend, position)
+            least_s = cost_s
+            if least_s <= 0 or position >= MOST_COMPARED:
+                break
+        return best
 
     def _find_pace(self, backend: Backend) -> float:
         """Return this instance's part of a cold upstream's rate."""
@@ -324,7 +349,7 @@
             if region == self._region:
                 demand += view.demand
             loads[region] = RegionLoad(demand, float(slots))
-        return loads
+        return add_expected(loads, view.work.first_s)
 
     def _refresh(self, now: float) -> None:
         """Take over what changed in the belief since the last call."""
--- a/tests/fleet/test_cuts.py
+++ b/tests/fleet/test_cuts.py
@@ -176,7 +176,7 @@
             upstream.most_in_flight = 0
         before = {one.server: len(one.runs) for one in whole.fleet.upstreams}
         results = await gather(*(whole.call(instance, key) for _ in range(16)))
-        assert all(result.is_good for result in results)
+        assert [one.code for one in results if not one.is_good] == []
         headroom = rules.services["rondas"].headroom
         for upstream in whole.fleet.upstreams:
             if upstream.server == own:
