--- a/src/gypsummount/_core/backlog.py
+++ b/src/gypsummount/_core/backlog.py
@@ -40,16 +40,20 @@
             self.other_s += (work_s - self.other_s) * WORK_WEIGHT
 
     def find_cost(
-        self, position: int, load: float, slots: int
+        self, position: int, load: float, slots: int, left_s: float
     ) -> float | None:
         """Return the delay (s) beyond that of an idle first upstream.
 
-        None means that the upstream has too much waiting.
+        None means that the upstream has too much waiting, or that the
+        request would wait there and still be late: it would only make
+        others late.  ``left_s`` is the time in which it is not late.
         """
         if load >= slots * MOST_LOAD:
             return None
         waiting = max(0.0, load + 1 - slots)
         cost_s = waiting * self.first_s / slots
+        if waiting >= 1 and cost_s + self.first_s > left_s:
+            return None
         if position == 0:
             return cost_s
         extra_s = max(LEAST_EXTRA_S, self.other_s - self.first_s)
--- a/src/gypsummount/_core/placement.py
+++ b/src/gypsummount/_core/placement.py
@@ -18,6 +18,8 @@
 LOCAL_UTILISATION = 0.6
 MAX_STEP_PER_S = 0.04
 LEAST_MOVE = 0.03
+START_GAP = 0.08
+STOP_GAP = 0.01
 EXPECTED_UTILISATION = 0.4
 
 
@@ -55,6 +57,7 @@
     region: str
     parts: dict[str, float] = field(default_factory=dict)
     planned_at: float = 0.0
+    is_moving: bool = False
 
     def update(
         self, loads: dict[str, RegionLoad], work_s: float, now: float
@@ -105,8 +108,12 @@
             for name in names
         }
         moved = sum(gap for gap in gaps.values() if gap > 0)
-        if moved <= 0:
+        # Hysteresis keeps objects from moving with every small change
+        # of demand; once begun, a move goes on to its end.
+        if moved < (STOP_GAP if self.is_moving else START_GAP):
+            self.is_moving = False
             return
+        self.is_moving = True
         scale = min(1.0, step / moved)
         for name, gap in gaps.items():
             self.parts[name] = self.parts.get(name, 0.0) + gap * scale
--- a/src/gypsummount/_edge/proxy.py
+++ b/src/gypsummount/_edge/proxy.py
@@ -9,6 +9,7 @@
 from gypsummount._core.catalog import EdgeRoute
 from gypsummount._core.catalog import EdgeWorkspace
 from gypsummount._core.catalog import NO_HOMES
+from gypsummount._core.patience import Patience
 from gypsummount._core.placement import hash_object
 from gypsummount._core.quotas import QuotaShares
 from gypsummount._core.spreading import WeightedTurns
@@ -16,7 +17,6 @@
 from gypsummount._edge.repeats import Repeats
 from gypsummount._edge.rollouts import Rollouts
 from gypsummount._edge.selection import Backend
-from gypsummount._edge.selection import build_need
 from gypsummount._edge.selection import Need
 from gypsummount._edge.selection import Pick
 from gypsummount._edge.selection import Selection
@@ -90,6 +90,7 @@
         self._wire = wire
         self._region = region
         self._turns = WeightedTurns()
+        self._patience = Patience()
 
     async def run(self, arrival: Arrival, started: float) -> UpstreamAnswer:
         """Return the upstream's answer to a request.
@@ -118,7 +119,8 @@
         workspace = self._find_workspace(catalog, route, arrival)
         patience_s = arrival.patience_s or DEFAULT_PATIENCE_S
         limit_s = min(patience_s - DEADLINE_MARGIN_S, route.timeout_s)
-        need = self._build_need(route, workspace, arrival)
+        began = started - self._patience.find_spent(route.name, patience_s)
+        need = self._build_need(route, workspace, arrival, began)
         case = Case(arrival, route, workspace, started + limit_s, need, need)
         self._choose_version(case)
         return case
@@ -165,6 +167,7 @@
         route: EdgeRoute,
         workspace: EdgeWorkspace | None,
         arrival: Arrival,
+        began: float,
     ) -> Need:
         service = self._turns.choose(route.name, route.destinations)
         homes = _join_homes(
@@ -173,13 +176,13 @@
         )
         place = arrival.affinity if arrival.affinity else arrival.request_id
         first = workspace.priority if workspace else 0
-        return build_need(
-            route,
+        return Need(
             service,
             self._rollouts.find_versions(service),
             homes,
-            hashed=hash_object(place),
-            rank=first * RANK_SPAN + route.priority,
+            hash_object(place),
+            first * RANK_SPAN + route.priority,
+            began + route.objective_s,
         )
 
     def _choose_version(self, case: Case) -> None:
@@ -191,13 +194,13 @@
         case.is_new = canary.choose_new(read_monotonic())
         if not case.is_new:
             return
-        case.need = build_need(
-            case.route,
+        case.need = Need(
             need.service,
             frozenset((canary.order.target,)),
             need.regions,
-            hashed=self._place_canary(case, canary),
-            rank=need.rank,
+            self._place_canary(case, canary),
+            need.rank,
+            need.due,
         )
 
     def _place_canary(self, case: Case, canary: Canary) -> int:
--- a/src/gypsummount/_edge/selection.py
+++ b/src/gypsummount/_edge/selection.py
@@ -12,7 +12,6 @@
 from gypsummount._common.logs import get_logger
 from gypsummount._core.backlog import ServiceWork
 from gypsummount._core.backlog import UpstreamLoad
-from gypsummount._core.catalog import EdgeRoute
 from gypsummount._core.catalog import UpstreamRecord
 from gypsummount._core.placement import add_expected
 from gypsummount._core.placement import mix_hashes
@@ -23,9 +22,11 @@
 from gypsummount._entry.connections import Suspicion
 from gypsummount.errors import NoCapacity
 
-MAX_IDLE_AGE_S = 6.0
+NEAR_FRESH_S = 1.0
+FAR_FRESH_S = 3.0
 MAX_WAITING = 24
-WAIT_PART = 0.5
+MOST_WAIT_S = 0.15
+LATE_RANK = 1_000_000
 OVERFLOW_PART = 0.06
 OVERFLOW_BURST = 4.0
 DEMAND_WEIGHT = 0.3
@@ -42,6 +43,8 @@
 
     ``versions`` are those it may run on (empty: any), ``regions`` where
     it may run (empty: anywhere); ``hashed`` is that of its object.
+    ``due`` is when its answer stops earning full credit (boot clock,
+    s), and ``rank`` orders waiting requests, the most urgent first.
     """
 
     service: str
@@ -49,7 +52,7 @@
     regions: frozenset[str]
     hashed: int
     rank: int
-    objective_s: float
+    due: float
 
 
 @dataclass(slots=True)
@@ -102,6 +105,7 @@
     demand: float = 0.0
     work: ServiceWork = field(default_factory=ServiceWork)
     overflow: float = OVERFLOW_BURST
+    wait_s: float = MOST_WAIT_S
 
 
 class Selection:
@@ -189,7 +193,7 @@
         if pick is not None:
             pick.backend.load.note_start(now)
             return pick
-        limit_s = min(need.objective_s * WAIT_PART, deadline - now)
+        limit_s = min(view.wait_s, deadline - now)
         is_full = len(view.waiting) >= MAX_WAITING
         if limit_s <= 0 or is_full or not self._has_any(view, need):
             raise _build_full(need)
@@ -211,7 +215,10 @@
     ) -> Pick:
         self._number += 1
         place: Future[Pick] = get_running_loop().create_future()
-        waiter = _Waiter(need.rank, self._number, need, tried, place)
+        rank = need.rank
+        if read_monotonic() + view.work.first_s > need.due:
+            rank += LATE_RANK
+        waiter = _Waiter(rank, self._number, need, tried, place)
         heappush(view.waiting, waiter)
         try:
             await wait({place}, timeout=limit_s)
@@ -299,7 +306,10 @@
                 continue
             position += 1
             cost_s = view.work.find_cost(
-                position, backend.load.estimate(now), backend.record.slots
+                position,
+                backend.load.estimate(now),
+                backend.record.slots,
+                need.due - now,
             )
             if cost_s is None or (best is not None and cost_s >= least_s):
                 continue
@@ -379,8 +389,9 @@
     def _add(self, record: UpstreamRecord, now: float) -> None:
         cold_s = record.cold_s
         load = UpstreamLoad(record, now + cold_s if cold_s > 0 else 0.0)
-        pool = ConnectionPool(record.address, self._suspicion)
         region = self._regions.get(record.domain, "")
+        fresh_s = NEAR_FRESH_S if region == self._region else FAR_FRESH_S
+        pool = ConnectionPool(record.address, self._suspicion, fresh_s)
         self._backends[record.name] = Backend(load, pool, region, False)
 
     def _renew(
@@ -430,19 +441,6 @@
                 view.by_region.setdefault(backend.region, []).append(backend)
 
 
-def build_need(
-    route: EdgeRoute,
-    service: str,
-    versions: frozenset[str],
-    regions: frozenset[str],
-    *,
-    hashed: int,
-    rank: int,
-) -> Need:
-    """Return what a request on a route asks of its upstream."""
-    return Need(service, versions, regions, hashed, rank, route.objective_s)
-
-
 def _fits(backend: Backend, need: Need, tried: frozenset[str]) -> bool:
     if not backend.is_usable or backend.record.name in tried:
         return False
--- a/src/gypsummount/_entry/connections.py
+++ b/src/gypsummount/_entry/connections.py
@@ -265,11 +265,22 @@
 class ConnectionPool:
     """Idle connections to one upstream, the latest used first."""
 
-    __slots__ = ("_host", "_idle", "_suspicion", "address", "opened")
+    __slots__ = (
+        "_fresh_s",
+        "_host",
+        "_idle",
+        "_suspicion",
+        "address",
+        "opened",
+    )
 
     def __init__(
-        self, address: str, suspicion: Suspicion | None = None
+        self,
+        address: str,
+        suspicion: Suspicion | None = None,
+        fresh_s: float = FRESH_S,
     ) -> None:
+        self._fresh_s = fresh_s
         self._suspicion = suspicion or Suspicion()
         self.address = address
         self._host = address
@@ -292,7 +303,7 @@
         """Exchange over a kept or a new connection.
 
         A request that may not be repeated goes only over a connection
-        that has answered within the last second and since the last
+        that has answered within ``fresh_s`` seconds and since the last
         silence, because another may have gone silent.
 
         :raises ExchangeError: as :meth:`UpstreamConnection.exchange`.
@@ -338,7 +349,8 @@
         return None
 
     def _is_fresh(self, connection: UpstreamConnection, age_s: float) -> bool:
-        return age_s <= FRESH_S and connection.used_at > self._suspicion.since
+        is_recent = age_s <= self._fresh_s
+        return is_recent and connection.used_at > self._suspicion.since
 
     def _keep(self, connection: UpstreamConnection) -> None:
         if len(self._idle) >= MAX_IDLE or not connection.is_reusable():
