--- a/src/gypsummount/_edge/selection.py
+++ b/src/gypsummount/_edge/selection.py
@@ -27,10 +27,8 @@
 MAX_WAITING = 24
 MOST_WAIT_S = 0.15
 LATE_RANK = 1_000_000
-OVERFLOW_PART = 0.06
-OVERFLOW_BURST = 4.0
 DEMAND_WEIGHT = 0.3
-MOST_COMPARED = 4
+MOST_PLACES = 2
 RETRY_S = 0.25
 MAX_RANKS = 20_000
 
@@ -104,7 +102,6 @@
     asked: int = 0
     demand: float = 0.0
     work: ServiceWork = field(default_factory=ServiceWork)
-    overflow: float = OVERFLOW_BURST
     wait_s: float = MOST_WAIT_S
 
 
@@ -188,7 +185,6 @@
             raise _build_full(need)
         if not tried:
             view.asked += 1
-            view.overflow = min(OVERFLOW_BURST, view.overflow + OVERFLOW_PART)
         pick = self._choose(view, need, tried, now)
         if pick is not None:
             pick.backend.load.note_start(now)
@@ -263,7 +259,7 @@
         found = self._search(view, need, home, tried, now)
         if found is not None:
             return found
-        if view.overflow < 1:
+        if self._has_able(view, need, home, now):
             return None
         others = [name for name in view.by_region if name != home]
         others.sort(key=lambda name: name != self._region)
@@ -272,7 +268,6 @@
                 continue
             found = self._search(view, need, region, tried, now)
             if found is not None:
-                view.overflow -= region != self._region
                 return found
         return None
 
@@ -300,30 +295,36 @@
         """
         best: Pick | None = None
         least_s = 0.0
-        position = -1
+        position = 0
         for backend in self._rank(need, region):
+            if position >= MOST_PLACES:
+                break
             if not _fits(backend, need, tried):
                 continue
-            position += 1
+            load = backend.load
+            if not load.can_take(now):
+                continue
             cost_s = view.work.find_cost(
-                position,
-                backend.load.estimate(now),
-                backend.record.slots,
-                need.due - now,
+                position, load.estimate(now), load.record.slots, need.due - now
             )
+            position += 1
             if cost_s is None or (best is not None and cost_s >= least_s):
                 continue
-            load = backend.load
-            if not load.can_take(now):
-                continue
             if not load.has_pace(now, self._find_pace(backend)):
                 continue
-            best = Pick(backend, position)
+            best = Pick(backend, position - 1)
             least_s = cost_s
-            if least_s <= 0 or position >= MOST_COMPARED:
-                break
         return best
 
+    def _has_able(
+        self, view: _ServiceView, need: Need, region: str, now: float
+    ) -> bool:
+        """Tell whether a region has upstreams that work, full or not."""
+        return any(
+            _fits(backend, need, frozenset()) and backend.load.can_take(now)
+            for backend in view.by_region.get(region, ())
+        )
+
     def _find_pace(self, backend: Backend) -> float:
         """Return this instance's part of a cold upstream's rate."""
         pacers = self._pacers.get(backend.region, 1)
