Undo a plan made while only some upstreams were known at once

Work times were measured with waiting in them, so that each region planned by its own queue. Ruled out: demand measured wrongly (151, 52 and 25/s at 2 s were true).

--- a/src/gypsummount/_core/backlog.py
+++ b/src/gypsummount/_core/backlog.py
@@ -1,5 +1,7 @@
 """Load, health and pace of one upstream as an edge instance sees it."""
 
+from collections import OrderedDict
+
 from gypsummount._core.catalog import UpstreamRecord
 from gypsummount._core.placement import hash_name
 
@@ -10,6 +12,7 @@
 MOST_LOAD = 2.0
 SECOND_PART = 0.7
 LEAST_EXTRA_S = 0.02
+MOST_KNOWN = 256
 FAULTS_TO_EJECT = 3
 FIRST_EJECTION_S = 0.5
 LONGEST_EJECTION_S = 4.0
@@ -67,6 +70,7 @@
         "_ejected_until",
         "_ejections",
         "_faults",
+        "_known",
         "_others",
         "_reported_at",
         "_sent",
@@ -86,6 +90,7 @@
         self.in_flight = 0
         self.latency_s = 0.0
         self.error_rate = 0.0
+        self._known: OrderedDict[int, None] = OrderedDict()
         self._others = 0.0
         self._reported_at = 0.0
         self._faults = 0
@@ -133,8 +138,16 @@
         """Record that the upstream refused to run a request."""
         self._shut_until = max(self._shut_until, now + pause_s)
 
-    def note_success(self, latency_s: float) -> None:
-        """Record a good answer."""
+    def knows(self, hashed: int) -> bool:
+        """Tell whether the upstream has lately answered for an object."""
+        return hashed in self._known
+
+    def note_success(self, latency_s: float, hashed: int) -> None:
+        """Record a good answer for an object."""
+        self._known[hashed] = None
+        self._known.move_to_end(hashed)
+        if len(self._known) > MOST_KNOWN:
+            self._known.popitem(last=False)
         self._faults = 0
         self._ejections = 0
         self.error_rate -= self.error_rate * ERROR_WEIGHT
--- a/src/gypsummount/_core/placement.py
+++ b/src/gypsummount/_core/placement.py
@@ -73,6 +73,14 @@
         self._drop_lost(loads)
         self._step(target, step)
 
+    def reset(self) -> None:
+        """Let the next update take the target at once.
+
+        That is for a start and for a service without requests, where
+        no request changes its region by it.
+        """
+        self.parts = {}
+
     def choose(self, hashed: int) -> str:
         """Return the region in which an object's requests run."""
         place = mix_hashes(hashed, 1)
--- a/src/gypsummount/_edge/proxy.py
+++ b/src/gypsummount/_edge/proxy.py
@@ -183,6 +183,7 @@
             hash_object(place),
             first * RANK_SPAN + route.priority,
             began + route.objective_s,
+            route.objective_s,
         )
 
     def _choose_version(self, case: Case) -> None:
@@ -201,6 +202,7 @@
             self._place_canary(case, canary),
             need.rank,
             need.due,
+            need.objective_s,
         )
 
     def _place_canary(self, case: Case, canary: Canary) -> int:
@@ -343,7 +345,7 @@
         if failed:
             backend.load.note_fault(now)
         else:
-            backend.load.note_success(latency_s)
+            backend.load.note_success(latency_s, case.need.hashed)
             self._selection.note_work(case.need.service, pick, latency_s)
         self._observe(case, failed=failed, latency_s=latency_s)
 
--- a/src/gypsummount/_edge/selection.py
+++ b/src/gypsummount/_edge/selection.py
@@ -7,6 +7,7 @@
 from dataclasses import field
 from heapq import heappop
 from heapq import heappush
+from random import random
 
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.logs import get_logger
@@ -25,11 +26,14 @@
 NEAR_FRESH_S = 1.0
 FAR_FRESH_S = 3.0
 MAX_WAITING = 24
-MOST_WAIT_S = 0.15
+WAIT_PART = 0.6
 LATE_RANK = 1_000_000
 DEMAND_WEIGHT = 0.3
 MOST_PLACES = 2
-RETRY_S = 0.25
+LEAST_DEMAND = 1.0
+SETTLE_S = 3.0
+RETRY_S = 0.2
+RETRY_SPREAD_S = 0.3
 MAX_RANKS = 20_000
 
 _log = get_logger("selection")
@@ -51,6 +55,7 @@
     hashed: int
     rank: int
     due: float
+    objective_s: float
 
 
 @dataclass(slots=True)
@@ -70,10 +75,11 @@
 
 @dataclass(slots=True, frozen=True)
 class Pick:
-    """A chosen upstream and its place in the order of the object."""
+    """A chosen upstream, its place in the object's order and its load."""
 
     backend: Backend
     position: int
+    load: float
 
 
 @dataclass(slots=True, order=True)
@@ -102,7 +108,6 @@
     asked: int = 0
     demand: float = 0.0
     work: ServiceWork = field(default_factory=ServiceWork)
-    wait_s: float = MOST_WAIT_S
 
 
 class Selection:
@@ -124,6 +129,7 @@
         self._peer_demand: dict[str, dict[str, float]] = {}
         self._pacers: dict[str, int] = {}
         self._measured_at = read_monotonic()
+        self._settled_at = self._measured_at + SETTLE_S
 
     def close(self) -> None:
         """Close all connections."""
@@ -160,15 +166,24 @@
             current = view.asked / span_s
             view.asked = 0
             view.demand += (current - view.demand) * DEMAND_WEIGHT
-            view.plan.update(
-                self._list_loads(name, view), view.work.first_s, now
-            )
+            loads = self._list_loads(name, view)
+            demand = sum(load.demand for load in loads.values())
+            if demand < LEAST_DEMAND or now < self._settled_at:
+                view.plan.reset()
+            expected = add_expected(loads, view.work.first_s)
+            view.plan.update(expected, view.work.first_s, now)
             self._serve_queue(view, now)
 
     def note_work(self, service: str, pick: Pick, work_s: float) -> None:
-        """Record how long an upstream of the own region worked."""
+        """Record how long an upstream of the own region worked.
+
+        Answers that had to wait there say nothing of the work.
+        """
         view = self._services.get(service)
-        if view is not None and pick.backend.region == self._region:
+        has_waited = pick.load + 1 > pick.backend.record.slots
+        if view is None or has_waited:
+            return
+        if pick.backend.region == self._region:
             view.work.observe(pick.position, work_s)
 
     async def take(
@@ -189,7 +204,7 @@
         if pick is not None:
             pick.backend.load.note_start(now)
             return pick
-        limit_s = min(view.wait_s, deadline - now)
+        limit_s = min(need.objective_s * WAIT_PART, deadline - now)
         is_full = len(view.waiting) >= MAX_WAITING
         if limit_s <= 0 or is_full or not self._has_any(view, need):
             raise _build_full(need)
@@ -290,29 +305,37 @@
     ) -> Pick | None:
         """Return the upstream that is likely to answer first.
 
-        The first in an object's order knows it; another costs the
-        extra work of one that does not.
+        An object belongs to the first in its order, which knows it;
+        the second helps out at the cost of the extra work of one that
+        does not.  While neither is known to know the object, any other
+        with a free slot may learn it.
         """
         best: Pick | None = None
         least_s = 0.0
         position = 0
+        is_known = False
         for backend in self._rank(need, region):
-            if position >= MOST_PLACES:
-                break
             if not _fits(backend, need, tried):
                 continue
             load = backend.load
             if not load.can_take(now):
                 continue
+            if position >= MOST_PLACES:
+                if is_known or best is not None:
+                    break
+                if load.estimate(now) >= load.record.slots:
+                    continue
+            estimate = load.estimate(now)
+            is_known = is_known or load.knows(need.hashed)
             cost_s = view.work.find_cost(
-                position, load.estimate(now), load.record.slots, need.due - now
+                position, estimate, load.record.slots, need.due - now
             )
             position += 1
             if cost_s is None or (best is not None and cost_s >= least_s):
                 continue
             if not load.has_pace(now, self._find_pace(backend)):
                 continue
-            best = Pick(backend, position - 1)
+            best = Pick(backend, position - 1, estimate)
             least_s = cost_s
         return best
 
@@ -360,7 +383,7 @@
             if region == self._region:
                 demand += view.demand
             loads[region] = RegionLoad(demand, float(slots))
-        return add_expected(loads, view.work.first_s)
+        return loads
 
     def _refresh(self, now: float) -> None:
         """Take over what changed in the belief since the last call."""
@@ -463,5 +486,5 @@
     error = NoCapacity(
         f"no upstream of {need.service} has room; come back later"
     )
-    error.retry_after_s = RETRY_S
+    error.retry_after_s = RETRY_S + random() * RETRY_SPREAD_S
     return error
