--- /dev/null
+++ b/tests/core/test_freshness.py
@@ -0,0 +1,91 @@
+"""Withdrawn keys: proofs of freshness over lost, late and frozen words."""
+
+from random import Random
+
+import pytest
+
+from gypsummount._core.freshness import FreshnessProof
+
+LIMIT_S = 4.0
+REVOKE_S = 5.0
+
+
+class TestProof:
+    def test_no_proof_is_not_fresh(self):
+        proof = FreshnessProof(LIMIT_S)
+        assert not proof.is_fresh(0.0)
+        assert proof.find_age(0.0) is None
+
+    def test_peers_word_counts_from_our_question(self):
+        """A digest that lay in the socket for 9 s proves nothing new."""
+        proof = FreshnessProof(LIMIT_S)
+        proof.note_peer(7, asked_at=1.0, age_s=0.5)
+        assert proof.is_fresh(4.4)
+        assert not proof.is_fresh(10.0)
+
+    def test_word_on_an_older_catalog_counts_for_nothing(self):
+        proof = FreshnessProof(LIMIT_S)
+        proof.note_read(9, 1.0)
+        proof.note_peer(8, asked_at=6.0, age_s=0.0)
+        assert not proof.is_fresh(6.0)
+
+    def test_peer_without_a_proof_gives_none(self):
+        proof = FreshnessProof(LIMIT_S)
+        proof.note_peer(7, asked_at=1.0, age_s=None)
+        assert proof.find_age(1.0) is None
+
+
+class _Instance:
+    """An instance with its own boot clock, in a model of the fleet."""
+
+    def __init__(self, random):
+        self.offset = random.uniform(0, 1000)
+        self.proof = FreshnessProof(LIMIT_S)
+        self.holds_key = True
+        self.echoes = {}
+
+
+class TestFleetModel:
+    """Against a naive central view: nothing runs after the bound."""
+
+    @pytest.mark.parametrize("seed", range(60))
+    def test_no_keyed_send_after_the_bound(self, seed):
+        random = Random(seed)
+        fleet = [_Instance(random) for _ in range(4)]
+        revoked_at = random.uniform(2, 10)
+        network = []
+        cut_off = {random.randrange(4), random.randrange(4)}
+        now = 0.0
+        while now < 25:
+            now += random.expovariate(8)
+            one = random.randrange(4)
+            instance = fleet[one]
+            clock = now + instance.offset
+            reads = one not in cut_off or now < revoked_at - 1
+            if reads and random.random() < 0.4:
+                is_old = now < revoked_at
+                instance.holds_key = instance.holds_key and is_old
+                instance.proof.note_read(1 if is_old else 2, clock)
+            for other in range(4):
+                if other != one and random.random() < 0.7:
+                    network.append(
+                        (
+                            now + random.expovariate(0.7),
+                            one,
+                            other,
+                            1 if instance.holds_key else 2,
+                            instance.proof.find_age(clock),
+                            clock,
+                            instance.echoes.get(other),
+                        )
+                    )
+            due = [word for word in network if word[0] <= now]
+            network = [word for word in network if word[0] > now]
+            for _, source, target, revision, age_s, sent, echo in due:
+                receiver = fleet[target]
+                receiver.echoes[source] = sent
+                own = 1 if receiver.holds_key else 2
+                if echo is not None and revision == own:
+                    receiver.proof.note_peer(revision, echo, age_s)
+            is_sent = instance.holds_key and instance.proof.is_fresh(clock)
+            assert not (is_sent and now > revoked_at + REVOKE_S)
--- /dev/null
+++ b/tests/edge/test_selection.py
@@ -0,0 +1,164 @@
+"""Full first choices, cold starts and lost regions: selection."""
+
+import asyncio
+
+import pytest
+
+from gypsummount._core.backlog import MOST_LOAD
+from gypsummount._core.catalog import CallerLimits
+from gypsummount._core.catalog import Catalog
+from gypsummount._core.catalog import EdgeService
+from gypsummount._core.catalog import UpstreamRecord
+from gypsummount._core.freshness import FreshnessProof
+from gypsummount._edge.belief import Belief
+from gypsummount._edge.selection import MOST_PLACES
+from gypsummount._edge.selection import Need
+from gypsummount._edge.selection import Selection
+from gypsummount.errors import NoCapacity
+
+REGIONS = {"a1": "a", "a2": "a", "b1": "b"}
+SLOTS = 4
+
+
+def create_record(name, domain, *, is_ready=True, cold_s=0.0):
+    return UpstreamRecord(
+        name,
+        "s",
+        f"127.0.0.1:{9000 + int(name)}",
+        domain,
+        "v1",
+        SLOTS,
+        is_ready,
+        cold_s,
+    )
+
+
+def create_need(hashed, *, due=float("inf"), regions=frozenset()):
+    return Need("s", frozenset(), regions, hashed, 1, due, 0.3)
+
+
+@pytest.fixture
+def belief():
+    made = Belief(None, FreshnessProof(4.0))
+    made.catalog = Catalog(1, CallerLimits(15.0, 1000))
+    made.catalog.services["s"] = EdgeService("s", 3.0, 24.0)
+    for number in range(8):
+        domain = ("a1", "a2")[number % 2] if number < 6 else "b1"
+        made.upstreams[str(number)] = create_record(str(number), domain)
+    made.changes = 1
+    return made
+
+
+@pytest.fixture
+def selection(belief):
+    made = Selection(belief, "a", REGIONS)
+    made.follow_fleet({}, {"a": 1, "b": 0})
+    made.update()
+    yield made
+    made.close()
+
+
+async def take(selection, need, tried=frozenset()):
+    return await selection.take(need, tried, need.due)
+
+
+def answer(pick, hashed):
+    pick.backend.load.note_success(0.1, hashed)
+
+
+class TestAffinity:
+    async def test_object_goes_to_one_upstream(self, selection):
+        names = set()
+        for _ in range(20):
+            pick = await take(selection, create_need(7))
+            names.add(pick.backend.record.name)
+            selection.release(pick.backend)
+        assert len(names) == 1
+
+    async def test_full_first_choices_do_not_scatter_a_known_object(
+        self, selection
+    ):
+        """Unknown objects work three times as long and fill the rest."""
+        first = await take(selection, create_need(7))
+        answer(first, 7)
+        selection.release(first.backend)
+        picks = []
+        with pytest.raises(NoCapacity):
+            for _ in range(100):
+                need = create_need(7)
+                picks.append(await take(selection, need))
+        names = {pick.backend.record.name for pick in picks}
+        assert len(names) == MOST_PLACES
+        assert len(picks) <= MOST_PLACES * SLOTS * MOST_LOAD
+
+    async def test_unknown_object_may_go_to_any_free_upstream(self, selection):
+        picks = [await take(selection, create_need(7)) for _ in range(24)]
+        names = {pick.backend.record.name for pick in picks}
+        assert len(names) >= MOST_PLACES
+
+
+class TestLateRequests:
+    async def test_late_request_does_not_queue_at_an_upstream(self, selection):
+        for backend in selection._backends.values():
+            backend.load.in_flight = SLOTS
+        with pytest.raises(NoCapacity):
+            await selection.take(create_need(7, due=0.0), frozenset(), 0.0)
+
+
+class TestRegions:
+    async def test_home_regions_bind(self, selection):
+        pick = await take(selection, create_need(7, regions=frozenset("b")))
+        assert pick.backend.region == "b"
+
+    async def test_region_without_working_upstreams_is_left(
+        self, selection, belief
+    ):
+        belief.evacuated = frozenset(("a1", "a2"))
+        belief.changes += 1
+        pick = await take(selection, create_need(7))
+        assert pick.backend.region == "b"
+
+    async def test_evacuated_domain_gets_nothing(self, selection, belief):
+        belief.evacuated = frozenset(("a1",))
+        belief.changes += 1
+        for hashed in range(40):
+            pick = await take(selection, create_need(hashed))
+            assert pick.backend.record.domain != "a1"
+            selection.release(pick.backend)
+
+
+class TestDrains:
+    async def test_draining_upstream_gets_nothing(self, selection, belief):
+        for name in ("0", "1", "2"):
+            domain = belief.upstreams[name].domain
+            belief.upstreams[name] = create_record(
+                name, domain, is_ready=False
+            )
+        belief.changes += 1
+        for hashed in range(40):
+            pick = await take(selection, create_need(hashed))
+            assert pick.backend.record.name not in ("0", "1", "2")
+            selection.release(pick.backend)
+
+
+class TestColdUpstreams:
+    async def test_cold_upstream_gets_its_pace(self, selection, belief):
+        for name, known in list(belief.upstreams.items()):
+            belief.upstreams[name] = create_record(
+                name, known.domain, cold_s=3.0
+            )
+        belief.changes += 1
+        selection.follow_fleet({}, {"a": 3, "b": 0})
+        counts = {}
+        for hashed in range(400):
+            try:
+                pick = await asyncio.wait_for(
+                    selection.take(create_need(hashed), frozenset(), 0.0), 1
+                )
+            except NoCapacity:
+                continue
+            name = pick.backend.record.name
+            counts[name] = counts.get(name, 0) + 1
+            selection.release(pick.backend)
+        assert max(counts.values()) <= 24 / 3
+        assert "6" not in counts
