Reload settings on SIGHUP or a changed file; serve metrics as text

Cause: SIGHUP ended the process (Python's default), and a file that changed without a signal was not seen. The metrics address serves counters, gauges and latency quantiles by workspace and route.

--- a/src/gypsummount/_core/freshness.py
+++ b/src/gypsummount/_core/freshness.py
@@ -4,14 +4,16 @@
 class FreshnessProof:
     """The latest moment at which a catalog was known to be the newest.
 
+    ``limit_s`` is the age up to which keyed requests may be sent.
+
     Moments are boot-clock seconds, which also pass while the machine is
     suspended.  A proof counts only for the catalog revision it names.
     """
 
-    __slots__ = ("_limit_s", "proved_at", "revision")
+    __slots__ = ("limit_s", "proved_at", "revision")
 
     def __init__(self, limit_s: float) -> None:
-        self._limit_s = limit_s
+        self.limit_s = limit_s
         self.revision = 0
         self.proved_at = float("-inf")
 
@@ -38,7 +40,7 @@
 
     def is_fresh(self, now: float) -> bool:
         """Tell whether keyed requests may still be sent."""
-        return now - self.proved_at <= self._limit_s
+        return now - self.proved_at <= self.limit_s
 
     def _take(self, revision: int, moment: float) -> None:
         if revision > self.revision:
--- a/src/gypsummount/_edge/decisions.py
+++ b/src/gypsummount/_edge/decisions.py
@@ -2,6 +2,7 @@
 
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.logs import get_logger
+from gypsummount._common.metrics import Metrics
 from gypsummount._edge.belief import Belief
 from gypsummount._edge.wire import Arrival
 from gypsummount.errors import RequestError
@@ -20,8 +21,9 @@
     line, so that nothing is left out silently.
     """
 
-    def __init__(self, belief: Belief) -> None:
+    def __init__(self, belief: Belief, metrics: Metrics) -> None:
         self._belief = belief
+        self._metrics = metrics
         self._tokens = LARGEST_BURST
         self._filled_at = read_monotonic()
         self.left_out = 0
@@ -32,6 +34,7 @@
         """Log why a request was not answered by an upstream."""
         if not self._take_token():
             self.left_out += 1
+            self._metrics.count("log_lines.left_out")
             return
         age_s = self._belief.proof.find_age(read_monotonic())
         _log.info(
--- /dev/null
+++ b/src/gypsummount/_edge/exposition.py
@@ -0,0 +1,32 @@
+"""Metrics as text, in the exposition format that collectors read."""
+
+from gypsummount._common.metrics import Metrics
+
+PREFIX = "gypsummount"
+
+
+def write_exposition(
+    metrics: Metrics, gauges: dict[str, float], now: float
+) -> str:
+    """Return counters, gauges and latency quantiles, a line each.
+
+    Latencies are in milliseconds, by workspace and kind of request.
+    """
+    lines = [
+        f"{PREFIX}_{_clean(name)}_total {count}"
+        for name, count in sorted(metrics.read_counts().items())
+    ]
+    lines += [f"{PREFIX}_{name} {value:g}" for name, value in gauges.items()]
+    for one in metrics.summarise(now):
+        labels = f'workspace="{one.workspace}",route="{one.route}"'
+        for quantile, value in (("0.5", one.p50_ms), ("0.99", one.p99_ms)):
+            lines.append(
+                f'{PREFIX}_latency_ms{{{labels},quantile="{quantile}"}} '
+                f"{value:g}"
+            )
+        lines.append(f"{PREFIX}_latency_ms_count{{{labels}}} {one.count}")
+    return "\n".join(lines) + "\n"
+
+
+def _clean(name: str) -> str:
+    return name.replace(".", "_").replace("-", "_")
--- a/src/gypsummount/_edge/front.py
+++ b/src/gypsummount/_edge/front.py
@@ -17,6 +17,7 @@
 from gypsummount._common.metrics import Series
 from gypsummount._edge.decisions import DecisionLog
 from gypsummount._edge.proxy import Proxy
+from gypsummount._edge.proxy import ProxyOutcome
 from gypsummount._edge.wire import Arrival
 from gypsummount._edge.wire import Wire
 from gypsummount._entry.connections import UpstreamAnswer
@@ -85,9 +86,10 @@
         arrival: Arrival | None = None
         try:
             arrival = self._wire.read_arrival(request)
-            answer = await self._proxy.run(arrival, started)
+            outcome = await self._proxy.run(arrival, started)
+            answer = outcome.answer
             self._write_answer(request, answer)
-            self._note_answer(arrival, answer, read_monotonic() - started)
+            self._note_answer(outcome, read_monotonic() - started)
         except RequestError as error:
             self._write_error(request, error)
             self._decisions.note_refusal(
@@ -103,11 +105,10 @@
             error = OutcomeUnknown("an internal fault; look it up")
             self._write_error(request, error)
 
-    def _note_answer(
-        self, arrival: Arrival, answer: UpstreamAnswer, latency_s: float
-    ) -> None:
-        self._metrics.count(f"answers.{answer.status // 100}xx")
-        self._metrics.record(Series(arrival.host, ""), latency_s)
+    def _note_answer(self, outcome: ProxyOutcome, latency_s: float) -> None:
+        self._metrics.count(f"answers.{outcome.answer.status // 100}xx")
+        workspace = outcome.workspace or "open"
+        self._metrics.record(Series(workspace, outcome.route), latency_s)
 
     def _write_answer(
         self, request: HTTPServerRequest, answer: UpstreamAnswer
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -3,6 +3,7 @@
 from asyncio import Event
 from asyncio import sleep
 from contextlib import AsyncExitStack
+from dataclasses import replace
 from random import Random
 from time import time
 
@@ -25,6 +26,7 @@
 from gypsummount._edge.digests import NO_ECHO
 from gypsummount._edge.digests import SERVING
 from gypsummount._edge.digests import STARTING
+from gypsummount._edge.exposition import write_exposition
 from gypsummount._edge.feed import Feed
 from gypsummount._edge.feed import InstanceRecord
 from gypsummount._edge.feed import Kind
@@ -46,7 +48,6 @@
 DRIVE_S = 0.3
 PROVE_S = 0.2
 REGISTER_S = 1.0
-PROOF_MARGIN_S = 1.2
 START_SHARE = 0.1
 LEAVE_SERVE_S = 3.5
 STOP_MARGIN_S = 0.6
@@ -65,7 +66,7 @@
         self._stopping = Event()
         self._incarnation = int(time() * MS_PER_S)
         random = Random(self._incarnation)
-        limit_s = settings.bounds.revoke_s - PROOF_MARGIN_S
+        limit_s = settings.bounds.proof_limit_s
         self.metrics = Metrics(None, "")
         self.belief = Belief(feed, FreshnessProof(limit_s))
         self.peers = Peers()
@@ -97,7 +98,7 @@
             ),
             wire,
             self.metrics,
-            DecisionLog(self.belief),
+            DecisionLog(self.belief, self.metrics),
         )
 
     @property
@@ -107,6 +108,20 @@
             return LEAVING
         return SERVING if self.belief.is_ready else STARTING
 
+    def apply(self, settings: EdgeSettings) -> None:
+        """Take over changed settings as far as a running process can.
+
+        Addresses and places hold until the next start.
+        """
+        if settings == self._settings:
+            return
+        kept = replace(self._settings, bounds=settings.bounds)
+        if kept != settings:
+            _log.warning("Changed addresses or places need a restart.")
+        self._settings = kept
+        self.belief.proof.limit_s = settings.bounds.proof_limit_s
+        _log.info("Settings are reloaded.")
+
     def stop(self) -> None:
         """Begin to leave: finish what is under way, then end."""
         if self._stopping.is_set():
@@ -123,6 +138,20 @@
             named.append(self._build_digest(NO_ECHO, ()))
         return named
 
+    def write_metrics(self) -> str:
+        """Return counters, latencies and gauges as text."""
+        now = read_monotonic()
+        age_s = self.belief.proof.find_age(now)
+        gauges = {
+            "in_flight": float(self.front.in_flight),
+            "peers_live": float(len(self.peers.list_live(now))),
+            "store_connected": float(self._mirror.contact.is_connected),
+            "configuration_revision": float(self.belief.catalog_revision),
+            "proof_age_seconds": -1.0 if age_s is None else age_s,
+            "upstreams_known": float(len(self.belief.upstreams)),
+        }
+        return write_exposition(self.metrics, gauges, now)
+
     async def run(self) -> None:
         """Serve until stopped and everything under way has ended."""
         settings = self._settings
--- a/src/gypsummount/_edge/proxy.py
+++ b/src/gypsummount/_edge/proxy.py
@@ -69,6 +69,15 @@
         return self.workspace.name if self.workspace else None
 
 
+@dataclass(slots=True, frozen=True)
+class ProxyOutcome:
+    """An upstream's answer and what it was given for."""
+
+    answer: UpstreamAnswer
+    route: str
+    workspace: str | None
+
+
 class Proxy:
     """Runs each request at most as often as its route allows."""
 
@@ -92,7 +101,7 @@
         self._turns = WeightedTurns()
         self._patience = Patience()
 
-    async def run(self, arrival: Arrival, started: float) -> UpstreamAnswer:
+    async def run(self, arrival: Arrival, started: float) -> ProxyOutcome:
         """Return the upstream's answer to a request.
 
         ``started`` is when the request was read (boot clock, s).
@@ -104,7 +113,9 @@
             case.canary.in_flight_old += 1
         try:
             await self._admit(case)
-            return await self._run_tries(case)
+            answer = await self._run_tries(case)
+            name = case.route.name
+            return ProxyOutcome(answer, name, case.workspace_name)
         finally:
             if case.canary is not None and not case.is_new:
                 case.canary.in_flight_old -= 1
--- a/src/gypsummount/_edge/settings.py
+++ b/src/gypsummount/_edge/settings.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+PROOF_MARGIN_S = 1.2
+
 
 @dataclass(slots=True, frozen=True)
 class EdgeBounds:
@@ -11,6 +13,11 @@
     grace_s: float
     lookup_ttl_s: float
 
+    @property
+    def proof_limit_s(self) -> float:
+        """Return how old a proof of the newest keys may be."""
+        return self.revoke_s - PROOF_MARGIN_S
+
 
 @dataclass(slots=True, frozen=True)
 class EdgeSettings:
--- a/src/gypsummount/platform/__main__.py
+++ b/src/gypsummount/platform/__main__.py
@@ -6,10 +6,13 @@
 
 from gypsummount._common.logs import configure_logs
 from gypsummount._common.logs import get_logger
+from gypsummount._common.signals import on_reload
 from gypsummount._common.signals import on_stop
+from gypsummount._common.tasks import start_task
 from gypsummount._edge.process import EdgeProcess
 from gypsummount.errors import SettingError
 from gypsummount.platform.interfaces import Interfaces
+from gypsummount.platform.reloading import Reloader
 from gypsummount.platform.settings import find_path
 from gypsummount.platform.settings import read_settings
 from gypsummount.platform.store import StoreClient
@@ -22,11 +25,15 @@
 
 async def serve() -> None:
     """Serve until the platform asks the process to end."""
-    settings = read_settings(find_path())
+    path = find_path()
+    settings = read_settings(path)
     feed = StoreClient(settings.store)
     process = EdgeProcess(settings.edge, feed, PlatformWire())
     on_stop(process.stop)
+    reloader = Reloader(path, process)
+    on_reload(reloader.reload)
     async with AsyncExitStack() as stack:
+        start_task(stack, reloader.watch(), "settings")
         interfaces = Interfaces(process, settings.edge)
         stack.push_async_callback(interfaces.close)
         interfaces.listen()
--- a/src/gypsummount/platform/interfaces.py
+++ b/src/gypsummount/platform/interfaces.py
@@ -14,6 +14,8 @@
 
 READY_PATH = "/-/readiness"
 RESOLVE_PATH = "/-/resolve"
+METRICS_PATH = "/metrics"
+METRICS_PORT = 9102
 
 
 class Interfaces:
@@ -32,6 +34,7 @@
             settings.directory_listen,
             settings.control_listen,
         }
+        addresses.add(f"{settings.host}:{METRICS_PORT}")
         for address in addresses - {""}:
             server = HTTPServer(self._receive)
             server.add_sockets(bind_address("listen", address))
@@ -50,6 +53,9 @@
             write_plain(request, status, "text/plain", b"")
         elif request.path == RESOLVE_PATH:
             self._resolve(request)
+        elif request.path == METRICS_PATH:
+            body = self._process.write_metrics().encode()
+            write_plain(request, 200, "text/plain; version=0.0.4", body)
         else:
             write_plain(request, 404, "text/plain", b"")
 
