Drive the real program over the platform's wire with doubles

19 tests beside small doubles of the store and servers: whole answers, keys, crossed and lost answers, reused addresses, withdrawn keys, store outage, refusal, lost history, forged entries, SIGTERM, SIGHUP. Found by them: the fixed metrics port let no second instance start on a machine; it is a setting now (GYPSUMMOUNT_METRICS_PORT).

--- a/src/gypsummount/platform/__main__.py
+++ b/src/gypsummount/platform/__main__.py
@@ -14,6 +14,7 @@
 from gypsummount.platform.interfaces import Interfaces
 from gypsummount.platform.reloading import Reloader
 from gypsummount.platform.settings import find_path
+from gypsummount.platform.settings import read_metrics_port
 from gypsummount.platform.settings import read_settings
 from gypsummount.platform.store import StoreClient
 from gypsummount.platform.wire import PlatformWire
@@ -34,7 +35,7 @@
     on_reload(reloader.reload)
     async with AsyncExitStack() as stack:
         start_task(stack, reloader.watch(), "settings")
-        interfaces = Interfaces(process, settings.edge)
+        interfaces = Interfaces(process, settings.edge, read_metrics_port())
         stack.push_async_callback(interfaces.close)
         interfaces.listen()
         await process.run()
--- a/src/gypsummount/platform/interfaces.py
+++ b/src/gypsummount/platform/interfaces.py
@@ -15,15 +15,17 @@
 READY_PATH = "/-/readiness"
 RESOLVE_PATH = "/-/resolve"
 METRICS_PATH = "/metrics"
-METRICS_PORT = 9102
 
 
 class Interfaces:
     """Small servers beside the one for callers' requests."""
 
-    def __init__(self, process: EdgeProcess, settings: EdgeSettings) -> None:
+    def __init__(
+        self, process: EdgeProcess, settings: EdgeSettings, metrics_port: int
+    ) -> None:
         self._process = process
         self._settings = settings
+        self._metrics_port = metrics_port
         self._servers: list[HTTPServer] = []
 
     def listen(self) -> None:
@@ -34,7 +36,7 @@
             settings.directory_listen,
             settings.control_listen,
         }
-        addresses.add(f"{settings.host}:{METRICS_PORT}")
+        addresses.add(f"{settings.host}:{self._metrics_port}")
         for address in addresses - {""}:
             server = HTTPServer(self._receive)
             server.add_sockets(bind_address("listen", address))
--- a/src/gypsummount/platform/settings.py
+++ b/src/gypsummount/platform/settings.py
@@ -10,6 +10,8 @@
 from gypsummount.errors import SettingError
 
 PATH_VARIABLE = "GYPSUMMOUNT_BOOT"
+METRICS_VARIABLE = "GYPSUMMOUNT_METRICS_PORT"
+METRICS_PORT = 9102
 LOOKUP_TTL_S = 2.0
 
 
@@ -34,6 +36,19 @@
     return Path(text)
 
 
+def read_metrics_port() -> int:
+    """Return the port of the metrics; the deploy file names the same.
+
+    :raises SettingError: when the environment holds no port.
+    """
+    text = environ.get(METRICS_VARIABLE, str(METRICS_PORT))
+    if not text.isdecimal() or not 0 < int(text) < 65536:
+        raise SettingError(
+            f"{METRICS_VARIABLE}: '{text}' is no port; give 1 to 65535"
+        )
+    return int(text)
+
+
 def read_settings(path: Path) -> PlatformSettings:
     """Return the settings of a file.
 
--- /dev/null
+++ b/tests/platform/conftest.py
@@ -0,0 +1,174 @@
+"""Instances of the real program beside doubles of the platform."""
+
+from asyncio import sleep
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from dataclasses import field
+import os
+import socket
+import subprocess
+import sys
+
+import pytest
+
+from gypsummount._core.sanitizing import Header
+from gypsummount._entry.connections import ConnectionPool
+from gypsummount._entry.connections import UpstreamRequest
+from tests.platform.standin import build_config
+from tests.platform.standin import build_entry
+from tests.platform.standin import serve_server
+from tests.platform.standin import serve_store
+from tests.platform.standin import ServerDouble
+from tests.platform.standin import StoreDouble
+from tests.platform.standin import write_settings
+
+ZONES = {"z1": "r1", "z2": "r2"}
+KEY = "key-of-w"
+READY_S = 15.0
+CALL_LIMIT_S = 5.0
+
+
+@dataclass(slots=True)
+class Ports:
+    """Ports of one instance; the same on all hosts of a test."""
+
+    front: int
+    ready: int
+    control: int
+    directory: int
+    peer: int
+    metrics: int
+
+
+@dataclass(slots=True)
+class Deployment:
+    """The doubles and the running instances."""
+
+    stack: AsyncExitStack
+    folder: object
+    store: StoreDouble
+    store_address: str
+    ports: Ports
+    servers: dict = field(default_factory=dict)
+    processes: dict = field(default_factory=dict)
+
+    def start(self, number):
+        host = f"127.0.0.{number + 1}"
+        path = self.folder / f"settings-{number}.json"
+        zone = "z1" if number % 2 else "z2"
+        write_settings(
+            path,
+            f"n{number}",
+            host,
+            self.store_address,
+            self.ports,
+            ZONES,
+            zone,
+        )
+        process = subprocess.Popen(
+            [sys.executable, "-m", "gypsummount.platform"],
+            env={
+                **os.environ,
+                "GYPSUMMOUNT_BOOT": str(path),
+                "GYPSUMMOUNT_METRICS_PORT": str(self.ports.metrics),
+            },
+            stdout=subprocess.DEVNULL,
+            stderr=open(self.folder / f"log-{number}", "ab"),
+        )
+        self.processes[number] = process
+        self.stack.callback(self._end, process)
+
+    def _end(self, process):
+        if process.poll() is None:
+            process.kill()
+        process.wait()
+
+    def read_log(self, number):
+        return (self.folder / f"log-{number}").read_text()
+
+    async def call(
+        self,
+        number,
+        method,
+        path,
+        *,
+        key=KEY,
+        wait_ms=2000,
+        request_id="id-1",
+        port=None,
+        body=b"",
+    ):
+        host = f"127.0.0.{number + 1}"
+        pool = ConnectionPool(f"{host}:{port or self.ports.front}")
+        headers = [
+            Header("Gypsummount-Deadline-Milliseconds", str(wait_ms)),
+            Header("Cookie", "Gypsummount-Affinity-Key=7"),
+        ]
+        if key:
+            headers.append(Header("Api-Key", key))
+        request = UpstreamRequest(
+            method,
+            path,
+            tuple(headers),
+            body,
+            request_id,
+            "Gypsummount-Request-Id",
+            "h.example",
+        )
+        try:
+            return await pool.send(request, CALL_LIMIT_S, repeatable=True)
+        finally:
+            pool.close()
+
+    async def is_ready(self, number):
+        try:
+            answer = await self.call(
+                number, "GET", "/-/readiness", port=self.ports.ready
+            )
+        except Exception:
+            return False
+        return answer.status == 200
+
+    async def wait_ready(self, *numbers):
+        left_s = READY_S
+        for number in numbers:
+            while not await self.is_ready(number):
+                await sleep(0.1)
+                left_s -= 0.1
+                assert left_s > 0, self.read_log(number)
+
+
+def find_ports():
+    """Return free ports; they stay bound until all are found."""
+    bound = []
+    for _ in range(6):
+        one = socket.socket()
+        one.bind(("127.0.0.2", 0))
+        bound.append(one)
+    ports = [one.getsockname()[1] for one in bound]
+    for one in bound:
+        one.close()
+    return Ports(*ports)
+
+
+@pytest.fixture
+async def deployment(tmp_path):
+    async with AsyncExitStack() as stack:
+        store = StoreDouble()
+        made = Deployment(
+            stack, tmp_path, store, serve_store(stack, store), find_ports()
+        )
+        store.put("config", "main", build_config(3, [KEY]))
+        for name in ("i-1", "i-2"):
+            server = ServerDouble(name)
+            made.servers[name] = server
+            address = serve_server(stack, server)
+            store.put("servers", name, build_entry(address))
+        yield made
+
+
+@pytest.fixture
+async def instance(deployment):
+    deployment.start(1)
+    await deployment.wait_ready(1)
+    return deployment
--- /dev/null
+++ b/tests/platform/standin.py
@@ -0,0 +1,295 @@
+"""Small doubles of the platform's store and servers, over HTTP."""
+
+from asyncio import Event
+from asyncio import sleep
+from asyncio import wait_for
+from json import dumps
+from json import loads
+
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+from tornado.web import RequestHandler
+
+HISTORY = 1000
+
+
+class StoreDouble:
+    """Objects with revisions and watches; switches make it fail."""
+
+    def __init__(self):
+        self.revision = 10
+        self.objects = {}
+        self.events = []
+        self.first_event = 0
+        self.changed = Event()
+        self.is_out = False
+        self.refused_hosts = set()
+        self.cut_watches = False
+        self.calls = 0
+
+    def put(self, kind, name, specification, status=None):
+        self.revision += 1
+        known = self.objects.setdefault(kind, {}).get(name)
+        created = known["metadata"]["created"] if known else self.revision
+        made = {
+            "metadata": {
+                "name": name,
+                "revision": self.revision,
+                "created": created,
+                "finalizers": [],
+                "deleting": False,
+            },
+            "specification": specification,
+            "status": status,
+        }
+        self.objects[kind][name] = made
+        self._note(kind, made, False)
+        return made
+
+    def delete(self, kind, name):
+        self.revision += 1
+        gone = self.objects[kind].pop(name)
+        gone = {**gone, "metadata": {**gone["metadata"]}}
+        gone["metadata"]["revision"] = self.revision
+        self._note(kind, gone, True)
+
+    def compact(self):
+        self.first_event = self.revision
+        self.events.clear()
+        self._wake()
+
+    def _note(self, kind, made, deleted):
+        self.events.append((self.revision, kind, made, deleted))
+        self._wake()
+
+    def _wake(self):
+        self.changed.set()
+        self.changed = Event()
+
+    async def watch(self, kind, revision, wait_s):
+        found = self.list_events(kind, revision)
+        if not found and revision >= self.first_event:
+            try:
+                await wait_for(self.changed.wait(), wait_s)
+            except TimeoutError:
+                pass
+            found = self.list_events(kind, revision)
+        return found
+
+    def list_events(self, kind, revision):
+        return [
+            {"object": made, "deleted": deleted}
+            for at, of, made, deleted in self.events
+            if of == kind and at > revision
+        ]
+
+
+class _StoreHandler(RequestHandler):
+    def initialize(self, store):
+        self.store = store
+
+    def prepare(self):
+        self.store.calls += 1
+        host = self.request.remote_ip
+        if self.store.is_out or host in self.store.refused_hosts:
+            self.set_status(503)
+            self.finish()
+
+    async def get(self, kind, name=None):
+        watch = self.get_argument("watch", None)
+        if watch is not None:
+            await self._watch(kind, int(watch))
+            return
+        found = self.store.objects.get(kind, {})
+        self.finish(
+            {
+                "items": [found[one] for one in sorted(found)],
+                "hasMore": False,
+                "at": self.store.revision,
+            }
+        )
+
+    async def _watch(self, kind, revision):
+        if revision < self.store.first_event:
+            self.set_status(410)
+            self.finish({})
+            return
+        wait_s = int(self.get_argument("waitMs")) / 1000
+        events = await self.store.watch(kind, revision, wait_s)
+        if self.store.cut_watches:
+            self.request.connection.stream.close()
+            return
+        self.finish({"events": events, "at": self.store.revision})
+
+    def post(self, kind, name=None):
+        body = loads(self.request.body)
+        name = body["metadata"]["name"]
+        if name in self.store.objects.get(kind, {}):
+            self.set_status(409)
+            self.finish({})
+            return
+        self.finish(self.store.put(kind, name, body["specification"]))
+
+    def put(self, kind, name, part=None):
+        body = loads(self.request.body)
+        known = self.store.objects.get(kind, {}).get(name)
+        if known is None:
+            self.set_status(404)
+            self.finish({})
+            return
+        wanted = body["metadata"].get("revision")
+        if wanted not in (None, known["metadata"]["revision"]):
+            self.set_status(409)
+            self.finish(known)
+            return
+        specification = body.get("specification", known["specification"])
+        status = body.get("status", known["status"])
+        self.finish(self.store.put(kind, name, specification, status))
+
+
+class ServerDouble:
+    """Answers requests; ``behaviour`` names a fault, or none."""
+
+    def __init__(self, name):
+        self.name = name
+        self.behaviour = "good"
+        self.delay_s = 0.0
+        self.runs = []
+        self.headers = []
+
+
+class _ServerHandler(RequestHandler):
+    def initialize(self, server):
+        self.server = server
+
+    async def get(self):
+        await self._answer()
+
+    async def post(self):
+        await self._answer()
+
+    async def _answer(self):
+        server = self.server
+        headers = self.request.headers
+        request_id = headers["Gypsummount-Request-Id"]
+        if headers["Gypsummount-Expected-Instance"] != server.name:
+            self.set_status(421)
+            self.finish()
+            return
+        if server.behaviour == "full":
+            self.set_status(503)
+            self.set_header("Gypsummount-Not-Executed", "1")
+            self.finish()
+            return
+        server.runs.append(request_id)
+        server.headers.append(headers)
+        await sleep(server.delay_s)
+        if server.behaviour == "lost":
+            self.request.connection.stream.close()
+            return
+        if server.behaviour == "failing":
+            self.set_status(500)
+        if server.behaviour == "crossed":
+            request_id = "another"
+        self.set_header("Gypsummount-Request-Id", request_id)
+        self.set_header("Gypsummount-Server-Stamp", f"stamp-{server.name}")
+        self.set_header("Gypsummount-Server-Load", "1,0,4")
+        self.finish(f"{server.name}:{len(self.request.body)}")
+
+
+def serve(stack, handler, arguments, patterns, host="127.0.0.1"):
+    """Serve a double on a free port and return its address."""
+    application = Application(
+        [(pattern, handler, arguments) for pattern in patterns]
+    )
+    server = HTTPServer(application)
+    sockets = bind_sockets(0, host)
+    server.add_sockets(sockets)
+    stack.callback(server.stop)
+    return f"{host}:{sockets[0].getsockname()[1]}"
+
+
+def serve_store(stack, store):
+    kinds = r"/-/objects/([^/]+)"
+    patterns = [kinds, kinds + r"/([^/]+)", kinds + r"/([^/]+)/(status)"]
+    return serve(stack, _StoreHandler, {"store": store}, patterns)
+
+
+def serve_server(stack, server):
+    return serve(stack, _ServerHandler, {"server": server}, [r"/.*"])
+
+
+def write_settings(path, node, host, store, ports, zones, zone):
+    path.write_text(
+        dumps(
+            {
+                "node": node,
+                "ip": host,
+                "zone": zone,
+                "region": zones[zone],
+                "zones": zones,
+                "listen": {
+                    "front": f"{host}:{ports.front}",
+                    "ready": f"{host}:{ports.ready}",
+                    "control": f"{host}:{ports.control}",
+                    "directory": f"{host}:{ports.directory}",
+                },
+                "internalPorts": [ports.peer, ports.peer],
+                "seeds": [f"127.0.0.2:{ports.control}"],
+                "bounds": ["revokeS=5", "graceS=6", "strictRevocation=true"],
+                "platform": {"address": store},
+            }
+        )
+    )
+
+
+def build_config(version, keys):
+    """Return a configuration with one service on two routes."""
+    rules = [
+        build_rule("safe", "/read/"),
+        build_rule("unsafe", "/book/"),
+    ]
+    return {
+        "version": version,
+        "limits": {"idleTimeoutS": 15, "bodyBytes": 1_000_000},
+        "tenants": [
+            {
+                "name": "w",
+                "apiKeys": keys,
+                "priority": 0,
+                "requestsPerS": 1000,
+                "burst": 1000,
+                "homeRegions": [],
+            }
+        ],
+        "listeners": [{"host": "h.example", "rules": rules}],
+        "clusters": [{"name": "s", "coldStartS": 3.0, "coldPerS": 24.0}],
+    }
+
+
+def build_rule(kind, prefix):
+    return {
+        "name": kind,
+        "kind": kind,
+        "targetLatencyS": 0.3,
+        "priority": 1,
+        "public": False,
+        "sticky": True,
+        "match": {"pathPrefix": prefix},
+        "action": {"service": "s", "timeoutS": 1.5, "attempts": 2},
+    }
+
+
+def build_entry(address, zone="z1", **changes):
+    entry = {
+        "service": "s",
+        "address": address,
+        "zone": zone,
+        "version": "v1",
+        "slots": 4,
+        "state": "ready",
+        "coldRemainingS": 0,
+        "sequence": 1,
+    }
+    return {**entry, **changes}
--- /dev/null
+++ b/tests/platform/test_program.py
@@ -0,0 +1,193 @@
+"""The real program over the platform's wire, with doubles around it."""
+
+from asyncio import gather
+from asyncio import sleep
+from json import loads
+from signal import SIGHUP
+from signal import SIGTERM
+
+from tests.platform.conftest import KEY
+from tests.platform.standin import build_config
+from tests.platform.standin import build_entry
+
+
+class TestRequests:
+    async def test_answer_comes_back_whole_and_unchanged(self, instance):
+        answer = await instance.call(1, "POST", "/book/x", body=b"12345")
+        assert answer.status == 200
+        headers = {one.name: one.value for one in answer.headers}
+        assert headers["Gypsummount-Server-Stamp"].startswith("stamp-i-")
+        assert headers["Gypsummount-Request-Id"] == "id-1"
+        assert answer.body.endswith(b":5")
+
+    async def test_upstream_sees_workspace_but_no_key(self, instance):
+        await instance.call(1, "GET", "/read/x")
+        seen = [
+            one for made in instance.servers.values() for one in made.headers
+        ]
+        assert len(seen) == 1
+        assert seen[0]["Gypsummount-Tenant-Name"] == "w"
+        assert KEY not in str(list(seen[0].get_all()))
+        assert int(seen[0]["Gypsummount-Deadline-Milliseconds"]) <= 2000
+
+    async def test_bad_key_is_401_and_bad_route_is_404(self, instance):
+        wrong = await instance.call(1, "GET", "/read/x", key="other")
+        none = await instance.call(1, "GET", "/read/x", key=None)
+        missing = await instance.call(1, "GET", "/other/x")
+        assert [wrong.status, none.status, missing.status] == [401, 401, 404]
+
+    async def test_directory_names_the_instance(self, instance):
+        answer = await instance.call(
+            1,
+            "GET",
+            "/-/resolve?name=h.example&region=r1&zone=z1",
+            port=instance.ports.directory,
+        )
+        body = loads(answer.body)
+        assert body["addresses"] == [f"127.0.0.2:{instance.ports.front}"]
+        assert 0 < body["ttlS"] <= 5
+
+
+class TestFaultyServers:
+    async def test_full_server_is_left_for_another(self, instance):
+        for first in ("i-1", "i-2"):
+            other = "i-2" if first == "i-1" else "i-1"
+            instance.servers[first].behaviour = "full"
+            instance.servers[other].behaviour = "good"
+            answer = await instance.call(1, "POST", "/book/x")
+            assert answer.status == 200
+            assert answer.body.startswith(other.encode())
+            await sleep(0.2)
+
+    async def test_lost_answer_of_an_unsafe_request_is_not_sent_again(
+        self, instance
+    ):
+        for server in instance.servers.values():
+            server.behaviour = "lost"
+        answer = await instance.call(1, "POST", "/book/x")
+        assert answer.status == 504
+        assert sum(len(one.runs) for one in instance.servers.values()) == 1
+
+    async def test_crossed_answer_is_not_passed_on(self, instance):
+        for server in instance.servers.values():
+            server.behaviour = "crossed"
+        answer = await instance.call(1, "POST", "/book/x")
+        assert answer.status == 504
+        assert b"i-" not in answer.body
+
+    async def test_reused_address_refuses(self, instance):
+        for server in instance.servers.values():
+            server.name = "i-new"
+        answer = await instance.call(1, "POST", "/book/x")
+        assert answer.status == 503
+
+    async def test_slow_server_ends_at_the_routes_timeout(self, instance):
+        for server in instance.servers.values():
+            server.delay_s = 3.0
+        answer = await instance.call(1, "GET", "/read/x", wait_ms=4000)
+        assert answer.status == 504
+
+
+class TestStoreFaults:
+    async def test_withdrawn_key_stops(self, instance):
+        instance.store.put("config", "main", build_config(4, ["new"]))
+        await sleep(0.5)
+        old = await instance.call(1, "GET", "/read/x")
+        new = await instance.call(1, "GET", "/read/x", key="new")
+        assert [old.status, new.status] == [401, 200]
+
+    async def test_keyed_requests_stop_when_no_proof_is_young(self, instance):
+        instance.store.is_out = True
+        await sleep(1.0)
+        assert (await instance.call(1, "GET", "/read/x")).status == 200
+        await sleep(4.5)
+        assert (await instance.call(1, "GET", "/read/x")).status == 503
+
+    async def test_start_without_the_store_answers_503(self, deployment):
+        deployment.store.is_out = True
+        deployment.start(1)
+        await sleep(2.5)
+        assert not await deployment.is_ready(1)
+        answer = await deployment.call(1, "GET", "/read/x")
+        assert answer.status == 503
+        deployment.store.is_out = False
+        await deployment.wait_ready(1)
+
+    async def test_refused_instance_serves_on_with_its_peers_word(
+        self, instance
+    ):
+        instance.start(2)
+        await instance.wait_ready(2)
+        # A call on loopback comes from the address that it goes to.
+        instance.store.refused_hosts.add("127.0.0.1")
+        await sleep(1.0)
+        instance.store.refused_hosts.clear()
+        await sleep(1.0)
+        answers = await gather(
+            instance.call(1, "GET", "/read/x"),
+            instance.call(2, "GET", "/read/x"),
+        )
+        assert [one.status for one in answers] == [200, 200]
+
+    async def test_lost_history_is_listed_again(self, instance):
+        instance.store.cut_watches = True
+        instance.store.compact()
+        instance.store.cut_watches = False
+        instance.store.put("config", "main", build_config(5, ["new"]))
+        await sleep(1.5)
+        answer = await instance.call(1, "GET", "/read/x", key="new")
+        assert answer.status == 200
+
+    async def test_draining_server_gets_nothing(self, instance):
+        entry = instance.store.objects["servers"]["i-1"]["specification"]
+        instance.store.put("servers", "i-1", {**entry, "state": "draining"})
+        await sleep(0.5)
+        for number in range(6):
+            await instance.call(1, "GET", "/read/x", request_id=str(number))
+        assert instance.servers["i-1"].runs == []
+
+    async def test_unreadable_entry_names_no_server(self, instance):
+        instance.store.put("servers", "i-9", {"service": "s"})
+        instance.store.put("servers", "i-8", build_entry("nowhere"))
+        await sleep(0.5)
+        answer = await instance.call(1, "GET", "/read/x")
+        assert answer.status == 200
+        assert "Ignored upstream 'i-9'" in instance.read_log(1)
+
+
+class TestStops:
+    async def test_planned_stop_finishes_what_is_under_way(self, instance):
+        for server in instance.servers.values():
+            server.delay_s = 1.0
+        under_way = [
+            instance.call(1, "POST", "/book/x", request_id=str(number))
+            for number in range(3)
+        ]
+        pending = gather(*under_way)
+        await sleep(0.4)
+        instance.processes[1].send_signal(SIGTERM)
+        answers = await pending
+        assert [one.status for one in answers] == [200, 200, 200]
+        assert not await instance.is_ready(1)
+        for _ in range(60):
+            if instance.processes[1].poll() is not None:
+                break
+            await sleep(0.1)
+        assert instance.processes[1].poll() == 0
+
+    async def test_hangup_reloads_and_serves_on(self, instance):
+        path = instance.folder / "settings-1.json"
+        text = path.read_text()
+        path.write_text(text.replace("revokeS=5", "revokeS=6"))
+        instance.processes[1].send_signal(SIGHUP)
+        await sleep(0.5)
+        assert (await instance.call(1, "GET", "/read/x")).status == 200
+        assert "Settings are reloaded" in instance.read_log(1)
+
+    async def test_bad_settings_change_nothing(self, instance):
+        path = instance.folder / "settings-1.json"
+        path.write_text("{}")
+        instance.processes[1].send_signal(SIGHUP)
+        await sleep(0.5)
+        assert (await instance.call(1, "GET", "/read/x")).status == 200
+        assert "Settings stay as they were" in instance.read_log(1)
