Split admission and backends out of the proxy and the selection

Code moved, nothing else: Case and the checks before a request is sent into admission, Backend and the follow-up of registrations into backends. tests/edge and tests/platform pass (31 tests).

--- /dev/null
+++ b/src/gypsummount/_edge/admission.py
@@ -0,0 +1,235 @@
+"""Admission: route, key, rate and version of a request."""
+
+from asyncio import sleep
+from dataclasses import dataclass
+from dataclasses import replace
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._core.canaries import Canary
+from gypsummount._core.catalog import Catalog
+from gypsummount._core.catalog import EdgeRoute
+from gypsummount._core.catalog import EdgeWorkspace
+from gypsummount._core.catalog import NO_HOMES
+from gypsummount._core.patience import Patience
+from gypsummount._core.placement import hash_object
+from gypsummount._core.quotas import QuotaShares
+from gypsummount._core.spreading import WeightedTurns
+from gypsummount._edge.backends import Need
+from gypsummount._edge.belief import Belief
+from gypsummount._edge.rollouts import Rollouts
+from gypsummount._edge.wire import Arrival
+from gypsummount.errors import KeyMissing
+from gypsummount.errors import KeyRefused
+from gypsummount.errors import KeyStale
+from gypsummount.errors import NotReady
+from gypsummount.errors import RateExceeded
+from gypsummount.errors import RequestError
+from gypsummount.errors import RouteMissing
+
+DEFAULT_PATIENCE_S = 30.0
+DEADLINE_MARGIN_S = 0.005
+RANK_SPAN = 100
+TOKEN_WAIT_PART = 0.4
+CERTAIN_AGE_S = 2.0
+
+
+@dataclass(slots=True)
+class Case:
+    """A request under way with what was decided about it."""
+
+    arrival: Arrival
+    route: EdgeRoute
+    workspace: EdgeWorkspace | None
+    deadline: float
+    need: Need
+    old_need: Need
+    canary: Canary | None = None
+    is_new: bool = False
+    has_token: bool = False
+    sends: int = 0
+    may_have_run: bool = False
+
+    @property
+    def workspace_name(self) -> str | None:
+        """Return the name that upstreams are told."""
+        return self.workspace.name if self.workspace else None
+
+
+class Admission:
+    """Decides whether and as what a request may run."""
+
+    def __init__(
+        self, belief: Belief, quotas: QuotaShares, rollouts: Rollouts
+    ) -> None:
+        self._belief = belief
+        self._quotas = quotas
+        self._rollouts = rollouts
+        self._turns = WeightedTurns()
+        self._patience = Patience()
+
+    def open(self, arrival: Arrival, started: float) -> Case:
+        """Return the case of a request that was read at ``started``.
+
+        :raises RequestError: when it may not run, with the reason.
+        """
+        catalog = self._belief.catalog
+        if catalog is None or not self._belief.is_ready:
+            raise NotReady("no configuration has arrived; try again in 1 s")
+        route = self._find_route(catalog, arrival)
+        workspace = self._find_workspace(catalog, route, arrival)
+        patience_s = arrival.patience_s or DEFAULT_PATIENCE_S
+        limit_s = min(patience_s - DEADLINE_MARGIN_S, route.timeout_s)
+        began = started - self._patience.find_spent(route.name, patience_s)
+        need = self._build_need(route, workspace, arrival, began)
+        case = Case(arrival, route, workspace, started + limit_s, need, need)
+        self._choose_version(case)
+        return case
+
+    def _find_route(self, catalog: Catalog, arrival: Arrival) -> EdgeRoute:
+        route = catalog.find_route(arrival.host, arrival.path)
+        if route is not None:
+            return route
+        self._check_certain()
+        raise RouteMissing("no route has this host and path")
+
+    def _find_workspace(
+        self, catalog: Catalog, route: EdgeRoute, arrival: Arrival
+    ) -> EdgeWorkspace | None:
+        if route.is_open or not catalog.workspaces:
+            return None
+        if not arrival.key:
+            raise KeyMissing("no key came; send the one you were given")
+        owner = catalog.find_owner(arrival.key)
+        if owner is None:
+            self._check_certain()
+            raise KeyRefused("the key is not in force; ask your operator")
+        self._check_fresh()
+        return owner
+
+    def _check_certain(self) -> None:
+        """Refuse without a verdict while the catalog may be out of date."""
+        age_s = self._belief.proof.find_age(read_monotonic())
+        if age_s is None or age_s > CERTAIN_AGE_S:
+            raise NotReady(
+                "the configuration may be out of date here; try another "
+                "instance"
+            )
+
+    def _check_fresh(self) -> None:
+        if not self._belief.proof.is_fresh(read_monotonic()):
+            raise KeyStale(
+                "key withdrawals may have been missed here; try another "
+                "instance"
+            )
+
+    def _build_need(
+        self,
+        route: EdgeRoute,
+        workspace: EdgeWorkspace | None,
+        arrival: Arrival,
+        began: float,
+    ) -> Need:
+        service = self._turns.choose(route.name, route.destinations)
+        homes = _join_homes(
+            route.home_regions,
+            workspace.home_regions if workspace else NO_HOMES,
+        )
+        place = arrival.affinity if arrival.affinity else arrival.request_id
+        first = workspace.priority if workspace else 0
+        return Need(
+            service,
+            self._rollouts.find_versions(service),
+            homes,
+            hash_object(place),
+            first * RANK_SPAN + route.priority,
+            began + route.objective_s,
+            route.objective_s,
+        )
+
+    def _choose_version(self, case: Case) -> None:
+        need = case.need
+        canary = self._rollouts.find(need.service)
+        if canary is None:
+            return
+        case.canary = canary
+        case.is_new = canary.choose_new(read_monotonic())
+        if not case.is_new:
+            return
+        case.need = replace(
+            need,
+            versions=frozenset((canary.order.target,)),
+            hashed=self._place_canary(case, canary),
+        )
+
+    def _place_canary(self, case: Case, canary: Canary) -> int:
+        """Return the object hash of a request to the new version.
+
+        While its share is small, all of it goes to one upstream, so
+        that a fault under load can show.
+        """
+        if canary.has_moved(read_monotonic()):
+            return case.need.hashed
+        return hash_object(canary.order.service)
+
+    async def admit(self, case: Case) -> None:
+        """Take a token of the workspace's rate, waiting a little for it.
+
+        :raises RateExceeded: when none comes in time.
+        """
+        workspace = case.workspace
+        if workspace is None:
+            return
+        wait_s = self._quotas.take(
+            workspace.name,
+            workspace.rate,
+            workspace.burst,
+            read_monotonic(),
+            patience_s=case.route.objective_s * TOKEN_WAIT_PART,
+        )
+        if wait_s is None:
+            raise self._build_over(workspace)
+        case.has_token = True
+        if wait_s > 0:
+            await sleep(wait_s)
+
+    def _build_over(self, workspace: EdgeWorkspace) -> RateExceeded:
+        rate = workspace.rate
+        share = self._quotas.find_share(workspace.name)
+        error = RateExceeded(
+            f"workspace {workspace.name} is over its rate of {rate:g}/s, of "
+            f"which this instance has {share:.3f}; come back later"
+        )
+        error.retry_after_s = self._quotas.find_wait(workspace.name, rate)
+        return error
+
+    def check_again(self, case: Case) -> None:
+        """Look again at the key, just before the request is sent.
+
+        :raises KeyRefused: when it was withdrawn meanwhile.
+        :raises KeyStale: when that can no longer be told.
+        """
+        if case.workspace is None:
+            return
+        owner = self._belief.catalog.find_owner(case.arrival.key)
+        if owner is None or owner.name != case.workspace.name:
+            raise KeyRefused("the key was withdrawn; ask for a new one")
+        self._check_fresh()
+
+    def put_back(self, case: Case) -> None:
+        """Return the token of a request that was never sent."""
+        if case.has_token and case.sends == 0:
+            self._quotas.put_back(case.workspace.name)
+
+
+def _join_homes(
+    first: frozenset[str], second: frozenset[str]
+) -> frozenset[str]:
+    """Return the regions that both allow; empty stands for all."""
+    if not first:
+        return second
+    if not second:
+        return first
+    both = first & second
+    if not both:
+        raise RequestError("the route and the workspace share no home region")
+    return both
--- /dev/null
+++ b/src/gypsummount/_edge/backends.py
@@ -0,0 +1,146 @@
+"""The upstreams that an edge instance uses, with load and connections."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from gypsummount._common.logs import get_logger
+from gypsummount._core.backlog import UpstreamLoad
+from gypsummount._core.catalog import UpstreamRecord
+from gypsummount._edge.belief import Belief
+from gypsummount._entry.connections import ConnectionPool
+from gypsummount._entry.connections import Suspicion
+
+NEAR_FRESH_S = 1.0
+FAR_FRESH_S = 3.0
+
+_log = get_logger("backends")
+
+
+@dataclass(slots=True, frozen=True)
+class Need:
+    """What a request asks of its upstream.
+
+    ``versions`` are those it may run on (empty: any), ``regions`` where
+    it may run (empty: anywhere); ``hashed`` is that of its object.
+    ``due`` is when its answer stops earning full credit (boot clock,
+    s), and ``rank`` orders waiting requests, the most urgent first.
+    """
+
+    service: str
+    versions: frozenset[str]
+    regions: frozenset[str]
+    hashed: int
+    rank: int
+    due: float
+    objective_s: float
+
+
+@dataclass(slots=True)
+class Backend:
+    """One upstream with its load and its connections."""
+
+    load: UpstreamLoad
+    pool: ConnectionPool
+    region: str
+    is_usable: bool = True
+
+    @property
+    def record(self) -> UpstreamRecord:
+        """Return the upstream's registration."""
+        return self.load.record
+
+    def fits(self, need: Need, tried: frozenset[str]) -> bool:
+        """Tell whether a request may run here, if there is room."""
+        if not self.is_usable or self.record.name in tried:
+            return False
+        if need.versions and self.record.version not in need.versions:
+            return False
+        return not need.regions or self.region in need.regions
+
+
+class Backends:
+    """Follows the registrations that the belief holds."""
+
+    def __init__(
+        self, belief: Belief, region: str, regions: dict[str, str]
+    ) -> None:
+        self._belief = belief
+        self._region = region
+        self._regions = regions
+        self._by_name: dict[str, Backend] = {}
+        self._suspicion = Suspicion()
+
+    def __iter__(self) -> Iterator[Backend]:
+        return iter(self._by_name.values())
+
+    def close(self) -> None:
+        """Close all connections."""
+        for backend in self:
+            backend.pool.close()
+
+    def follow(self, now: float) -> None:
+        """Take over the upstreams that the belief holds now."""
+        records = self._belief.upstreams
+        for name in [one for one in self._by_name if one not in records]:
+            self._retire(name)
+        for name, record in records.items():
+            known = self._by_name.get(name)
+            if known is not None and _is_same(known.record, record):
+                self._renew(known, record, now)
+                continue
+            if known is not None:
+                self._retire(name)
+            self._add(record, now)
+        for backend in self._by_name.values():
+            self._mark(backend, now)
+
+    def _add(self, record: UpstreamRecord, now: float) -> None:
+        cold_s = record.cold_s
+        load = UpstreamLoad(record, now + cold_s if cold_s > 0 else 0.0)
+        region = self._regions.get(record.domain, "")
+        fresh_s = NEAR_FRESH_S if region == self._region else FAR_FRESH_S
+        pool = ConnectionPool(record.address, self._suspicion, fresh_s)
+        self._by_name[record.name] = Backend(load, pool, region, False)
+
+    def _renew(
+        self, backend: Backend, record: UpstreamRecord, now: float
+    ) -> None:
+        if record.cold_s > 0 and record != backend.record:
+            until = now + record.cold_s
+            backend.load.cold_until = max(backend.load.cold_until, until)
+        backend.load.record = record
+
+    def _retire(self, name: str) -> None:
+        backend = self._by_name.pop(name)
+        backend.is_usable = False
+        backend.pool.close()
+
+    def _mark(self, backend: Backend, now: float) -> None:
+        """Set whether an upstream may be used; cold after evacuation."""
+        record = backend.record
+        was_usable = backend.is_usable
+        is_evacuated = record.domain in self._belief.evacuated
+        backend.is_usable = record.is_ready and not is_evacuated
+        if is_evacuated:
+            backend.load.cold_until = float("inf")
+        elif backend.load.cold_until == float("inf"):
+            catalog = self._belief.catalog
+            service = catalog.services.get(record.service) if catalog else None
+            cold_s = service.cold_s if service is not None else 0.0
+            backend.load.cold_until = now + cold_s
+        if was_usable != backend.is_usable:
+            _log.info(
+                "Upstream %s of %s is %s.",
+                record.name,
+                record.service,
+                "in use" if backend.is_usable else "out of use",
+            )
+
+
+def _is_same(first: UpstreamRecord, second: UpstreamRecord) -> bool:
+    """Tell whether two records are of one start of an upstream."""
+    return (
+        first.address == second.address
+        and first.service == second.service
+        and first.started_ms == second.started_ms
+    )
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -16,6 +16,7 @@
 from gypsummount._core.charts import Machine
 from gypsummount._core.freshness import FreshnessProof
 from gypsummount._core.quotas import QuotaShares
+from gypsummount._edge.admission import Admission
 from gypsummount._edge.belief import Belief
 from gypsummount._edge.copies import Copies
 from gypsummount._edge.decisions import DecisionLog
@@ -90,8 +91,7 @@
             Proxy(
                 self.belief,
                 self._selection,
-                self._quotas,
-                self._rollouts,
+                Admission(self.belief, self._quotas, self._rollouts),
                 Repeats(),
                 wire,
                 settings.region,
--- a/src/gypsummount/_edge/selection.py
+++ b/src/gypsummount/_edge/selection.py
@@ -10,21 +10,17 @@
 from random import random
 
 from gypsummount._common.clocks import read_monotonic
-from gypsummount._common.logs import get_logger
 from gypsummount._core.backlog import ServiceWork
-from gypsummount._core.backlog import UpstreamLoad
-from gypsummount._core.catalog import UpstreamRecord
 from gypsummount._core.placement import add_expected
 from gypsummount._core.placement import mix_hashes
 from gypsummount._core.placement import RegionLoad
 from gypsummount._core.placement import RegionPlan
+from gypsummount._edge.backends import Backend
+from gypsummount._edge.backends import Backends
+from gypsummount._edge.backends import Need
 from gypsummount._edge.belief import Belief
-from gypsummount._entry.connections import ConnectionPool
-from gypsummount._entry.connections import Suspicion
 from gypsummount.errors import NoCapacity
 
-NEAR_FRESH_S = 1.0
-FAR_FRESH_S = 3.0
 MAX_WAITING = 24
 WAIT_PART = 0.6
 LATE_RANK = 1_000_000
@@ -36,42 +32,6 @@
 RETRY_SPREAD_S = 0.3
 MAX_RANKS = 20_000
 
-_log = get_logger("selection")
-
-
-@dataclass(slots=True, frozen=True)
-class Need:
-    """What a request asks of its upstream.
-
-    ``versions`` are those it may run on (empty: any), ``regions`` where
-    it may run (empty: anywhere); ``hashed`` is that of its object.
-    ``due`` is when its answer stops earning full credit (boot clock,
-    s), and ``rank`` orders waiting requests, the most urgent first.
-    """
-
-    service: str
-    versions: frozenset[str]
-    regions: frozenset[str]
-    hashed: int
-    rank: int
-    due: float
-    objective_s: float
-
-
-@dataclass(slots=True)
-class Backend:
-    """One upstream with its load and its connections."""
-
-    load: UpstreamLoad
-    pool: ConnectionPool
-    region: str
-    is_usable: bool = True
-
-    @property
-    def record(self) -> UpstreamRecord:
-        """Return the upstream's registration."""
-        return self.load.record
-
 
 @dataclass(slots=True, frozen=True)
 class Pick:
@@ -119,13 +79,11 @@
         self._belief = belief
         self._region = region
         self._regions = regions
-        self._backends: dict[str, Backend] = {}
+        self._backends = Backends(belief, region, regions)
         self._services: dict[str, _ServiceView] = {}
         self._ranks: dict[_RankName, list[Backend]] = {}
         self._seen_changes = -1
-        self._first_seen = True
         self._number = 0
-        self._suspicion = Suspicion()
         self._peer_demand: dict[str, dict[str, float]] = {}
         self._pacers: dict[str, int] = {}
         self._measured_at = read_monotonic()
@@ -133,8 +91,7 @@
 
     def close(self) -> None:
         """Close all connections."""
-        for backend in self._backends.values():
-            backend.pool.close()
+        self._backends.close()
 
     def list_demand(self) -> dict[str, float]:
         """Return this instance's demand (1/s) by service."""
@@ -258,7 +215,7 @@
 
     def _has_any(self, view: _ServiceView, need: Need) -> bool:
         return any(
-            _fits(backend, need, frozenset())
+            backend.fits(need, frozenset())
             for backends in view.by_region.values()
             for backend in backends
         )
@@ -315,7 +272,7 @@
         position = 0
         is_known = False
         for backend in self._rank(need, region):
-            if not _fits(backend, need, tried):
+            if not backend.fits(need, tried):
                 continue
             load = backend.load
             if not load.can_take(now):
@@ -344,7 +301,7 @@
     ) -> bool:
         """Tell whether a region has upstreams that work, full or not."""
         return any(
-            _fits(backend, need, frozenset()) and backend.load.can_take(now)
+            backend.fits(need, frozenset()) and backend.load.can_take(now)
             for backend in view.by_region.get(region, ())
         )
 
@@ -391,71 +348,13 @@
             return
         self._seen_changes = self._belief.changes
         self._ranks.clear()
-        self._follow_upstreams(now)
+        self._backends.follow(now)
         self._follow_services()
-        self._first_seen = self._first_seen and not self._backends
-
-    def _follow_upstreams(self, now: float) -> None:
-        records = self._belief.upstreams
-        for name in [one for one in self._backends if one not in records]:
-            self._retire(name)
-        for name, record in records.items():
-            known = self._backends.get(name)
-            if known is not None and _is_same(known.record, record):
-                self._renew(known, record, now)
-                continue
-            if known is not None:
-                self._retire(name)
-            self._add(record, now)
-        for backend in self._backends.values():
-            self._mark(backend, now)
-
-    def _add(self, record: UpstreamRecord, now: float) -> None:
-        cold_s = record.cold_s
-        load = UpstreamLoad(record, now + cold_s if cold_s > 0 else 0.0)
-        region = self._regions.get(record.domain, "")
-        fresh_s = NEAR_FRESH_S if region == self._region else FAR_FRESH_S
-        pool = ConnectionPool(record.address, self._suspicion, fresh_s)
-        self._backends[record.name] = Backend(load, pool, region, False)
-
-    def _renew(
-        self, backend: Backend, record: UpstreamRecord, now: float
-    ) -> None:
-        if record.cold_s > 0 and record != backend.record:
-            until = now + record.cold_s
-            backend.load.cold_until = max(backend.load.cold_until, until)
-        backend.load.record = record
-
-    def _retire(self, name: str) -> None:
-        backend = self._backends.pop(name)
-        backend.is_usable = False
-        backend.pool.close()
-
-    def _mark(self, backend: Backend, now: float) -> None:
-        """Set whether an upstream may be used; cold after evacuation."""
-        record = backend.record
-        was_usable = backend.is_usable
-        is_evacuated = record.domain in self._belief.evacuated
-        backend.is_usable = record.is_ready and not is_evacuated
-        if is_evacuated:
-            backend.load.cold_until = float("inf")
-        elif backend.load.cold_until == float("inf"):
-            catalog = self._belief.catalog
-            service = catalog.services.get(record.service) if catalog else None
-            cold_s = service.cold_s if service is not None else 0.0
-            backend.load.cold_until = now + cold_s
-        if was_usable != backend.is_usable:
-            _log.info(
-                "Upstream %s of %s is %s.",
-                record.name,
-                record.service,
-                "in use" if backend.is_usable else "out of use",
-            )
 
     def _follow_services(self) -> None:
         for view in self._services.values():
             view.by_region = {}
-        for backend in self._backends.values():
+        for backend in self._backends:
             service = backend.record.service
             view = self._services.get(service)
             if view is None:
@@ -465,23 +364,6 @@
                 view.by_region.setdefault(backend.region, []).append(backend)
 
 
-def _fits(backend: Backend, need: Need, tried: frozenset[str]) -> bool:
-    if not backend.is_usable or backend.record.name in tried:
-        return False
-    if need.versions and backend.record.version not in need.versions:
-        return False
-    return not need.regions or backend.region in need.regions
-
-
-def _is_same(first: UpstreamRecord, second: UpstreamRecord) -> bool:
-    """Tell whether two records are of one start of an upstream."""
-    return (
-        first.address == second.address
-        and first.service == second.service
-        and first.started_ms == second.started_ms
-    )
-
-
 def _build_full(need: Need) -> NoCapacity:
     error = NoCapacity(
         f"no upstream of {need.service} has room; come back later"
--- a/tests/edge/test_selection.py
+++ b/tests/edge/test_selection.py
@@ -10,9 +10,9 @@
 from gypsummount._core.catalog import EdgeService
 from gypsummount._core.catalog import UpstreamRecord
 from gypsummount._core.freshness import FreshnessProof
+from gypsummount._edge.backends import Need
 from gypsummount._edge.belief import Belief
 from gypsummount._edge.selection import MOST_PLACES
-from gypsummount._edge.selection import Need
 from gypsummount._edge.selection import Selection
 from gypsummount.errors import NoCapacity
 
@@ -99,7 +99,7 @@
 
 class TestLateRequests:
     async def test_late_request_does_not_queue_at_an_upstream(self, selection):
-        for backend in selection._backends.values():
+        for backend in selection._backends:
             backend.load.in_flight = SLOTS
         with pytest.raises(NoCapacity):
             await selection.take(create_need(7, due=0.0), frozenset(), 0.0)
