--- a/src/gypsummount/_common/logs.py
+++ b/src/gypsummount/_common/logs.py
@@ -4,6 +4,7 @@
 import re
 import sys
 from typing import final
+from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -42,9 +43,11 @@
     return PartLogger(logging.getLogger(f"gypsummount.{part}"), {"part": part})
 
 
-def configure_logs(level: str, program: str) -> None:
-    """Write logs of this process to standard error as JSON lines."""
-    handler = logging.StreamHandler(sys.stderr)
+def configure_logs(
+    level: str, program: str, *, stream: TextIO | None = None
+) -> None:
+    """Write logs of this process as JSON lines, to standard error."""
+    handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(
         JsonFormatter(
             "%(asctime)s %(levelname)s %(name)s %(message)s",
--- a/src/gypsummount/platform/__main__.py
+++ b/src/gypsummount/platform/__main__.py
@@ -43,7 +43,7 @@
 
 def main() -> int:
     """Run the program and return its exit code."""
-    configure_logs("info", "edge")
+    configure_logs("info", "edge", stream=sys.stdout)
     try:
         run(serve())
     except SettingError as error:
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -80,8 +80,7 @@
                 "GYPSUMMOUNT_BOOT": str(path),
                 "GYPSUMMOUNT_METRICS_PORT": str(self.ports.metrics),
             },
-            stdout=subprocess.DEVNULL,
-            stderr=open(self.folder / f"log-{number}", "ab"),
+            stdout=open(self.folder / f"log-{number}", "ab"),
         )
         self.processes[number] = process
         self.stack.callback(self._end, process)
