--- a/src/gypsummount/_edge/front.py
+++ b/src/gypsummount/_edge/front.py
@@ -1,10 +1,8 @@
 """HTTP servers of an edge: callers, directory, readiness, metrics."""
 
 from asyncio import CancelledError
-from asyncio import create_task
-from asyncio import Task
+from typing import final
 
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders
 from tornado.httputil import HTTPServerRequest
 from tornado.httputil import responses
@@ -14,6 +12,7 @@
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.metrics import Metrics
 from gypsummount._common.metrics import Series
+from gypsummount._common.serving import RequestServer
 from gypsummount._edge.decisions import DecisionLog
 from gypsummount._edge.proxy import Proxy
 from gypsummount._edge.proxy import ProxyOutcome
@@ -25,12 +24,12 @@
 from gypsummount.errors import RequestError
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
-IDLE_LIMIT_S = 75.0
 NO_BODY = (204, 304)
 LEAVING_RETRY_S = 0.02
 
 
-class EdgeFront:
+@final
+class EdgeFront(RequestServer):
     """Answers callers; every request gets one final answer."""
 
     def __init__(
@@ -40,51 +39,21 @@
         metrics: Metrics,
         decisions: DecisionLog,
     ) -> None:
+        super().__init__(MAX_BODY_BYTES)
         self._proxy = proxy
         self._wire = wire
         self._metrics = metrics
         self._decisions = decisions
-        self._tasks: set[Task[None]] = set()
-        self._server = HTTPServer(
-            self._receive,
-            max_body_size=MAX_BODY_BYTES,
-            idle_connection_timeout=IDLE_LIMIT_S,
-        )
         self._is_ending = False
-        self.is_closing = False
-
-    @property
-    def in_flight(self) -> int:
-        """Return the number of requests under way."""
-        return len(self._tasks)
-
-    def listen(self, sockets: list) -> None:
-        """Begin to accept connections."""
-        self._server.add_sockets(sockets)
-
-    def stop_listening(self) -> None:
-        """Accept no further connections."""
-        self._server.stop()
 
     def end(self) -> None:
         """Refuse what still arrives, as not run, until the close."""
         self._is_ending = True
 
-    async def close(self) -> None:
-        """Drop all connections."""
-        self._server.stop()
-        for task in list(self._tasks):
-            task.cancel()
-        await self._server.close_all_connections()
-
-    def _receive(self, request: HTTPServerRequest) -> None:
+    def _answer_at_once(self, request: HTTPServerRequest) -> bool:
         if self._is_ending:
             self._write_error(request, _build_leaving())
-            return
-        task = create_task(self._serve(request))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        request.connection.set_close_callback(task.cancel)
+        return self._is_ending
 
     async def _serve(self, request: HTTPServerRequest) -> None:
         started = read_monotonic()
--- a/src/gypsummount/_entry/front.py
+++ b/src/gypsummount/_entry/front.py
@@ -1,12 +1,10 @@
 """The HTTP interface of an entry for callers."""
 
 from asyncio import CancelledError
-from asyncio import create_task
-from asyncio import Task
 from dataclasses import dataclass
 from json import dumps
+from typing import final
 
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders
 from tornado.httputil import HTTPServerRequest
 from tornado.httputil import responses
@@ -17,6 +15,7 @@
 from gypsummount._common.logs import get_logger
 from gypsummount._common.metrics import Metrics
 from gypsummount._common.metrics import Series
+from gypsummount._common.serving import RequestServer
 from gypsummount._core.keys import KeyRecord
 from gypsummount._core.lookups import Place
 from gypsummount._core.lookups import rank_entries
@@ -36,7 +35,6 @@
 OWN_PREFIX = "/v1"
 OUTCOME_HEADER = "Gypsummount-Outcome"
 MAX_BODY_BYTES = 16 * 1024 * 1024
-IDLE_LIMIT_S = 75
 NO_BODY = (204, 304)
 
 _log = get_logger("front")
@@ -48,7 +46,8 @@
     service: str
 
 
-class Front:
+@final
+class Front(RequestServer):
     """Answers look-ups from memory and steers every other request."""
 
     def __init__(
@@ -60,6 +59,7 @@
         place: Place,
         lookup_ttl_s: float,
     ) -> None:
+        super().__init__(MAX_BODY_BYTES)
         self._snapshot = snapshot
         self._reader = reader
         self._homes = homes
@@ -68,42 +68,12 @@
         self._lookup_ttl_s = lookup_ttl_s
         self._lookups: dict[_LookupName, bytes] = {}
         self._lookup_changes = -1
-        self._tasks: set[Task[None]] = set()
-        self._server = HTTPServer(
-            self._receive,
-            max_body_size=MAX_BODY_BYTES,
-            idle_connection_timeout=IDLE_LIMIT_S,
-        )
-        self.is_closing = False
-
-    @property
-    def in_flight(self) -> int:
-        """Return the number of requests under way."""
-        return len(self._tasks)
-
-    def listen(self, sockets: list) -> None:
-        """Begin to accept connections."""
-        self._server.add_sockets(sockets)
 
-    def stop_listening(self) -> None:
-        """Accept no further connections."""
-        self._server.stop()
-
-    async def close(self) -> None:
-        """Drop all connections."""
-        self._server.stop()
-        for task in list(self._tasks):
-            task.cancel()
-        await self._server.close_all_connections()
-
-    def _receive(self, request: HTTPServerRequest) -> None:
-        if request.path == LOOKUP_PATH and request.method == "GET":
-            self._answer_lookup(request)
-            return
-        task = create_task(self._serve(request))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        request.connection.set_close_callback(task.cancel)
+    def _answer_at_once(self, request: HTTPServerRequest) -> bool:
+        if request.path != LOOKUP_PATH or request.method != "GET":
+            return False
+        self._answer_lookup(request)
+        return True
 
     def _answer_lookup(self, request: HTTPServerRequest) -> None:
         try:
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -156,14 +156,26 @@
         pool.close()
         return result
 
-    async def is_ready(self, number):
+    async def ask_readiness(self, number):
+        """Return the status of the readiness check, or None."""
         try:
             answer = await self.call(
                 number, "GET", "/-/readiness", port=self.ports.ready
             )
-        except Exception:
-            return False
-        return answer.status == 200
+        except ExchangeError:
+            return None
+        return answer.status
+
+    async def is_ready(self, number):
+        return await self.ask_readiness(number) == 200
+
+    async def wait_listening(self, number):
+        """Wait until the program answers, ready or not."""
+        left_s = READY_S
+        while await self.ask_readiness(number) is None:
+            await sleep(0.1)
+            left_s -= 0.1
+            assert left_s > 0, self.read_log(number)
 
     async def wait_ready(self, *numbers):
         left_s = READY_S
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -107,8 +107,9 @@
     async def test_start_without_the_store_answers_503(self, deployment):
         deployment.store.is_out = True
         deployment.start(1)
-        await sleep(2.5)
-        assert not await deployment.is_ready(1)
+        await deployment.wait_listening(1)
+        await sleep(1.0)
+        assert await deployment.ask_readiness(1) == 503
         answer = await deployment.call(1, "GET", "/read/x")
         assert answer.status == 503
         deployment.store.is_out = False
