--- a/src/gypsummount/_edge/belief.py
+++ b/src/gypsummount/_edge/belief.py
@@ -1,5 +1,9 @@
 """What an edge instance holds true of the fleet, from the store."""
 
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+
 from gypsummount._common.logs import get_logger
 from gypsummount._core.catalog import Catalog
 from gypsummount._core.catalog import RolloutOrder
@@ -13,18 +17,28 @@
 from gypsummount.errors import RecordInvalid
 
 RETURN_HOLD_S = 2.0
+MAX_TOUCHES = 4000
 REQUIRED = (Kind.CATALOG, Kind.UPSTREAM, Kind.EVACUATION, Kind.ROLLOUT)
 
 _log = get_logger("belief")
 
 
+@dataclass(slots=True, frozen=True)
+class RecordName:
+    """A record of the store, present or removed."""
+
+    kind: Kind
+    name: str
+
+
 class Belief:
     """The newest known records of each kind, decoded.
 
     ``changes`` grows with every change, so that readers can tell when
     what they derived is out of date.  ``revisions`` are those of the
     store up to which each kind is known, ``changed`` those of the
-    latest change to each.
+    latest change to each.  ``sequence`` numbers the changes of records
+    here, in the order in which this instance took them over.
     """
 
     def __init__(self, feed: Feed, proof: FreshnessProof) -> None:
@@ -43,6 +57,10 @@
         self.rollouts: dict[str, RolloutOrder] = {}
         self.instances: dict[str, InstanceRecord] = {}
         self.changes = 0
+        self.sequence = 0
+        self._touches: OrderedDict[RecordName, int] = OrderedDict()
+        self._forgotten = 0
+        self._listeners: list[Callable[[], None]] = []
         self.regained_at = float("-inf")
 
     def is_known(self, kind: Kind) -> bool:
@@ -60,6 +78,33 @@
         """Return the records of a kind, for a peer."""
         return list(self._records[kind].values())
 
+    def listen(self, listener: Callable[[], None]) -> None:
+        """Call a listener after every change of a record."""
+        self._listeners.append(listener)
+
+    def find_record(self, name: RecordName) -> Record | None:
+        """Return a record, or None for one that was removed."""
+        return self._records[name.kind].get(name.name)
+
+    def list_touched(self, after: int) -> list[RecordName] | None:
+        """Return what changed after a sequence number, oldest first.
+
+        None means that changes after it were forgotten.
+        """
+        if after < self._forgotten or after > self.sequence:
+            return None
+        touched = []
+        for name in reversed(self._touches):
+            if self._touches[name] <= after:
+                break
+            touched.append(name)
+        touched.reverse()
+        return touched
+
+    def note_changed(self, kind: Kind, revision: int) -> None:
+        """Record the revision of the latest change that a peer knows."""
+        self._note_change(kind, revision)
+
     def take_listing(self, kind: Kind, listing: Listing, now: float) -> None:
         """Replace the records of a kind, unless they are older."""
         if listing.revision < self.revisions.get(kind, 0):
@@ -103,6 +148,7 @@
                 del self._held[record.name]
             return
         self._records[record.kind][record.name] = record
+        self._touch(record.kind, record.name)
         self._note_change(record.kind, record.revision)
         self._held.pop(record.name, None)
         try:
@@ -153,8 +199,19 @@
     def _note_change(self, kind: Kind, revision: int) -> None:
         self.changed[kind] = max(self.changed.get(kind, 0), revision)
 
+    def _touch(self, kind: Kind, name: str) -> None:
+        self.sequence += 1
+        touched = RecordName(kind, name)
+        self._touches[touched] = self.sequence
+        self._touches.move_to_end(touched)
+        if len(self._touches) > MAX_TOUCHES:
+            _, self._forgotten = self._touches.popitem(last=False)
+        for listener in self._listeners:
+            listener()
+
     def _drop(self, kind: Kind, name: str) -> None:
         self._records[kind].pop(name, None)
+        self._touch(kind, name)
         self._forget(kind, name)
         self.changes += 1
 
--- a/src/gypsummount/_edge/copies.py
+++ b/src/gypsummount/_edge/copies.py
@@ -1,138 +1,163 @@
-"""Copies of the store's records that instances give each other."""
+"""Copies of the store's records, as instances send them to each other."""
 
 from dataclasses import dataclass
 from json import dumps
 from json import loads
 
-from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPServerRequest
-
-from gypsummount._common.clocks import read_monotonic
-from gypsummount._common.logs import get_logger
 from gypsummount._edge.belief import Belief
+from gypsummount._edge.belief import RecordName
 from gypsummount._edge.belief import REQUIRED
-from gypsummount._edge.digests import Digest
 from gypsummount._edge.feed import Kind
 from gypsummount._edge.feed import Listing
 from gypsummount._edge.feed import Record
-from gypsummount._edge.front import write_plain
-from gypsummount._entry.connections import ConnectionPool
-from gypsummount._entry.connections import ExchangeError
-from gypsummount._entry.connections import UpstreamRequest
+from gypsummount.errors import RecordInvalid
+
+
+@dataclass(slots=True, frozen=True)
+class Cursor:
+    """How much of a sender's changes a receiver has taken over.
+
+    It holds for one incarnation of the sender; ``sequence`` is that of
+    the sender's belief.
+    """
+
+    incarnation: int
+    sequence: int
 
-RECORDS_PATH = "/v1/records"
-PULL_LIMIT_S = 1.0
-LAG_S = 0.4
 
-_log = get_logger("copies")
+NO_CURSOR = Cursor(0, 0)
 
 
 @dataclass(slots=True, frozen=True)
-class _Lag:
+class CopiedKind:
+    """Records of one kind: all of them if whole, else what changed.
+
+    ``changed`` is the revision of the latest change that is known.
+    """
+
     kind: Kind
-    revision: int
-
-
-class Copies:
-    """Serves this instance's records and fetches those of a peer."""
-
-    def __init__(self, belief: Belief, port: int) -> None:
-        self._belief = belief
-        self._port = port
-        self._lags: dict[_Lag, float] = {}
-        self._server = HTTPServer(self._receive)
-
-    def listen(self, sockets: list) -> None:
-        """Begin to accept connections."""
-        self._server.add_sockets(sockets)
-
-    async def close(self) -> None:
-        """Drop all connections."""
-        self._server.stop()
-        await self._server.close_all_connections()
-
-    async def catch_up(self, live: list[Digest], *, has_store: bool) -> None:
-        """Fetch a peer's records if it has known of changes for longer.
-
-        Without the store the difference counts at once.
-        """
-        now = read_monotonic()
-        ahead = self._find_ahead(live, now)
-        if ahead is None:
-            return
-        lag, digest = ahead
-        since = self._lags.setdefault(lag, now)
-        if has_store and now - since < LAG_S:
-            return
-        self._lags.clear()
-        await self._pull(digest)
-
-    def _find_ahead(
-        self, live: list[Digest], now: float
-    ) -> tuple[_Lag, Digest] | None:
-        for kind in REQUIRED:
-            known = self._belief.changed.get(kind, 0)
-            if not self._belief.is_known(kind):
-                known = -1
-            best = max(
-                live,
-                key=lambda one: one.revisions.get(kind.value, -1),
-                default=None,
-            )
-            if best is None:
-                continue
-            revision = best.revisions.get(kind.value, -1)
-            if revision > known:
-                return _Lag(kind, revision), best
-        return None
-
-    async def _pull(self, digest: Digest) -> None:
-        pool = ConnectionPool(f"{digest.host}:{self._port}")
-        request = UpstreamRequest("GET", RECORDS_PATH, (), b"", digest.name)
-        try:
-            answer = await pool.send(request, PULL_LIMIT_S, repeatable=True)
-        except ExchangeError as error:
-            _log.warning("No records from %s: %s", digest.name, error)
-            return
-        finally:
-            pool.close()
-        now = read_monotonic()
-        for kind, listing in _decode_copy(answer.body):
-            self._belief.take_listing(kind, listing, now)
-        _log.info("Took over the records of %s.", digest.name)
-
-    def _receive(self, request: HTTPServerRequest) -> None:
-        if request.path != RECORDS_PATH:
-            write_plain(request, 404, "text/plain", b"not found\n")
-            return
-        body = _encode_copy(self._belief)
-        write_plain(request, 200, "application/json", body)
-
-
-def _encode_copy(belief: Belief) -> bytes:
+    listing: Listing
+    changed: int
+    is_whole: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Copy:
+    """What a sender knows beyond a cursor, and its proof's age (s)."""
+
+    cursor: Cursor
+    kinds: tuple[CopiedKind, ...]
+    catalog_revision: int
+    proof_age_s: float | None
+
+
+def build_copy(
+    belief: Belief, incarnation: int, after: Cursor, now: float
+) -> Copy:
+    """Return what changed after a cursor, or everything."""
+    touched = None
+    if after.incarnation == incarnation:
+        touched = belief.list_touched(after.sequence)
+    kinds = [
+        _copy_whole(belief, kind)
+        if touched is None
+        else _copy_changes(belief, kind, touched)
+        for kind in REQUIRED
+        if belief.is_known(kind)
+    ]
+    return Copy(
+        Cursor(incarnation, belief.sequence),
+        tuple(kinds),
+        belief.catalog_revision,
+        belief.proof.find_age(now),
+    )
+
+
+def _copy_whole(belief: Belief, kind: Kind) -> CopiedKind:
+    listing = Listing(tuple(belief.list_records(kind)), belief.revisions[kind])
+    return CopiedKind(kind, listing, belief.changed.get(kind, 0), True)
+
+
+def _copy_changes(
+    belief: Belief, kind: Kind, touched: list[RecordName]
+) -> CopiedKind:
+    revision = belief.revisions[kind]
+    records = []
+    for name in touched:
+        if name.kind is kind:
+            record = belief.find_record(name)
+            if record is None:
+                record = Record(kind, name.name, revision, b"", True)
+            records.append(record)
+    listing = Listing(tuple(records), revision)
+    return CopiedKind(kind, listing, belief.changed.get(kind, 0), False)
+
+
+def apply_copy(belief: Belief, copy: Copy, now: float) -> None:
+    """Take over what a copy holds, unless the belief is newer."""
+    for part in copy.kinds:
+        if part.is_whole:
+            belief.take_listing(part.kind, part.listing, now)
+        elif belief.is_known(part.kind):
+            belief.take_changes(part.kind, part.listing, now)
+        belief.note_changed(part.kind, part.changed)
+
+
+def encode_copy(copy: Copy) -> bytes:
+    """Return the body of a copy."""
     return dumps(
-        [
-            {
-                "kind": kind.value,
-                "revision": belief.revisions[kind],
-                "records": [
-                    [one.name, one.revision, one.payload.decode()]
-                    for one in belief.list_records(kind)
-                ],
-            }
-            for kind in REQUIRED
-            if belief.is_known(kind)
-        ]
+        {
+            "incarnation": copy.cursor.incarnation,
+            "sequence": copy.cursor.sequence,
+            "catalog_revision": copy.catalog_revision,
+            "proof_age_s": copy.proof_age_s,
+            "kinds": [_encode_kind(part) for part in copy.kinds],
+        },
+        separators=(",", ":"),
     ).encode()
 
 
-def _decode_copy(body: bytes) -> list[tuple[Kind, Listing]]:
-    copies = []
-    for part in loads(body):
-        kind = Kind(part["kind"])
-        records = tuple(
-            Record(kind, name, revision, payload.encode())
-            for name, revision, payload in part["records"]
+def _encode_kind(part: CopiedKind) -> dict:
+    return {
+        "kind": part.kind.value,
+        "revision": part.listing.revision,
+        "changed": part.changed,
+        "is_whole": part.is_whole,
+        "records": [
+            [one.name, one.revision, one.payload.decode(), one.is_deleted]
+            for one in part.listing.records
+        ],
+    }
+
+
+def decode_copy(body: bytes) -> Copy:
+    """Return the copy of a body.
+
+    :raises RecordInvalid: when it is not one.
+    """
+    try:
+        raw = loads(body)
+        age_s = raw["proof_age_s"]
+        return Copy(
+            Cursor(int(raw["incarnation"]), int(raw["sequence"])),
+            tuple(_decode_kind(part) for part in raw["kinds"]),
+            int(raw["catalog_revision"]),
+            None if age_s is None else float(age_s),
         )
-        copies.append((kind, Listing(records, part["revision"])))
-    return copies
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise RecordInvalid(
+            f"a copy cannot be read ({error!r}); look who listens on the "
+            "peer port"
+        ) from None
+
+
+def _decode_kind(raw: dict) -> CopiedKind:
+    kind = Kind(raw["kind"])
+    records = tuple(
+        Record(kind, name, int(revision), payload.encode(), bool(is_deleted))
+        for name, revision, payload, is_deleted in raw["records"]
+    )
+    listing = Listing(records, int(raw["revision"]))
+    return CopiedKind(
+        kind, listing, int(raw["changed"]), bool(raw["is_whole"])
+    )
--- a/src/gypsummount/_edge/digests.py
+++ b/src/gypsummount/_edge/digests.py
@@ -55,7 +55,8 @@
     """What an instance tells its peers.
 
     ``sent_at`` is the sender's boot clock (s); ages and demands are in
-    seconds and requests a second.
+    seconds and requests a second.  ``contact`` is how the sender stands
+    with the store (:class:`gypsummount._core.readers.Contact`).
     """
 
     name: str
@@ -69,7 +70,7 @@
     echo: Echo
     catalog_revision: int
     proof_age_s: float | None
-    has_store: bool
+    contact: str
     quotas: dict[str, QuotaDemand] = field(default_factory=dict)
     demand: dict[str, float] = field(default_factory=dict)
     revisions: dict[str, int] = field(default_factory=dict)
--- /dev/null
+++ b/src/gypsummount/_edge/following.py
@@ -0,0 +1,206 @@
+"""Following of a peer's records, in place of own calls to the store."""
+
+from asyncio import sleep
+from dataclasses import dataclass
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._common.logs import get_logger
+from gypsummount._core.readers import Candidate
+from gypsummount._core.readers import choose_reader
+from gypsummount._core.readers import Contact
+from gypsummount._edge.belief import Belief
+from gypsummount._edge.belief import REQUIRED
+from gypsummount._edge.copies import apply_copy
+from gypsummount._edge.copies import Copy
+from gypsummount._edge.copies import Cursor
+from gypsummount._edge.copies import decode_copy
+from gypsummount._edge.copies import NO_CURSOR
+from gypsummount._edge.digests import Digest
+from gypsummount._edge.digests import SERVING
+from gypsummount._edge.feed import Kind
+from gypsummount._edge.mirror import Mirror
+from gypsummount._edge.sharing import RECORDS_PATH
+from gypsummount._entry.connections import ConnectionPool
+from gypsummount._entry.connections import ExchangeError
+from gypsummount._entry.connections import UpstreamRequest
+from gypsummount.errors import RecordInvalid
+
+WAIT_S = 0.6
+ANSWER_LIMIT_S = 1.1
+PULL_LIMIT_S = 1.0
+LAG_S = 0.4
+PROOF_LIMIT_S = 1.8
+LOOK_S = 0.1
+DISTRUST_S = 2.0
+
+_log = get_logger("following")
+
+
+@dataclass(slots=True, frozen=True)
+class _Lag:
+    kind: Kind
+    revision: int
+
+
+class Following:
+    """Reads the store while it must, and else follows the reader.
+
+    An instance reads the store itself as long as its reader does not
+    answer, or vouches for a configuration with too old a proof.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        region: str,
+        port: int,
+        belief: Belief,
+        mirror: Mirror,
+    ) -> None:
+        self._name = name
+        self._region = region
+        self._port = port
+        self._belief = belief
+        self._mirror = mirror
+        self._lags: dict[_Lag, float] = {}
+        self._live: list[Digest] = []
+        self._distrusted: dict[str, float] = {}
+        self._cursor = NO_CURSOR
+        self._reader = ""
+        self._pool: ConnectionPool | None = None
+
+    def close(self) -> None:
+        """Close the connection to the reader."""
+        if self._pool is not None:
+            self._pool.close()
+            self._pool = None
+
+    def follow_fleet(self, live: list[Digest]) -> None:
+        """Take the digests of the peers that are heard."""
+        self._live = live
+
+    async def run(self) -> None:
+        """Follow whoever reads for this region, for ever."""
+        while True:
+            reader = self._find_reader(read_monotonic())
+            if reader is None:
+                self._mirror.is_reading = True
+                await sleep(LOOK_S)
+                continue
+            await self._follow(reader)
+
+    def _find_reader(self, now: float) -> Digest | None:
+        """Return the peer to follow; None if it is this instance."""
+        if not self._belief.is_ready:
+            return None
+        peers = {
+            one.name: one
+            for one in self._live
+            if one.region == self._region
+            and one.phase == SERVING
+            and self._distrusted.get(one.name, 0.0) <= now
+        }
+        candidates = [
+            Candidate(one.name, Contact(one.contact)) for one in peers.values()
+        ]
+        candidates.append(Candidate(self._name, self._mirror.find_contact()))
+        return peers.get(choose_reader(candidates) or "")
+
+    async def _follow(self, reader: Digest) -> None:
+        if reader.name != self._reader:
+            self.close()
+            self._reader = reader.name
+            self._cursor = NO_CURSOR
+        if self._pool is None:
+            self._pool = ConnectionPool(f"{reader.host}:{self._port}")
+        try:
+            await self._take_next(self._pool)
+        except (ExchangeError, RecordInvalid) as error:
+            _log.warning("Reader %s gives no records: %s", reader.name, error)
+            self._mirror.is_reading = True
+            self._distrusted[reader.name] = read_monotonic() + DISTRUST_S
+            self.close()
+            self._reader = ""
+            return
+        age_s = self._belief.proof.find_age(read_monotonic())
+        is_vouched = age_s is not None and age_s <= PROOF_LIMIT_S
+        self._mirror.is_reading = not is_vouched
+
+    async def _take_next(self, pool: ConnectionPool) -> None:
+        asked_at = read_monotonic()
+        copy = await self._ask(pool, self._cursor, WAIT_S, ANSWER_LIMIT_S)
+        apply_copy(self._belief, copy, read_monotonic())
+        self._cursor = copy.cursor
+        self._note_proof(copy, asked_at)
+
+    def _note_proof(self, copy: Copy, asked_at: float) -> None:
+        if copy.catalog_revision == self._belief.catalog_revision:
+            self._belief.proof.note_peer(
+                copy.catalog_revision, asked_at, copy.proof_age_s
+            )
+
+    async def _ask(
+        self,
+        pool: ConnectionPool,
+        cursor: Cursor,
+        wait_s: float,
+        limit_s: float,
+    ) -> Copy:
+        """Return a peer's records after a cursor.
+
+        :raises ExchangeError: when no whole answer came in time.
+        :raises RecordInvalid: when the answer is no copy.
+        """
+        path = (
+            f"{RECORDS_PATH}?incarnation={cursor.incarnation}"
+            f"&sequence={cursor.sequence}&wait={wait_s}"
+        )
+        request = UpstreamRequest("GET", path, (), b"", self._name)
+        answer = await pool.send(request, limit_s, repeatable=True)
+        return decode_copy(answer.body)
+
+    async def catch_up(self) -> None:
+        """Fetch a peer's records if it has known of changes for longer.
+
+        Without the store the difference counts at once.
+        """
+        now = read_monotonic()
+        ahead = self._find_ahead()
+        if ahead is None:
+            return
+        lag, digest = ahead
+        since = self._lags.setdefault(lag, now)
+        is_lost = self._mirror.find_contact() is Contact.LOST
+        if not is_lost and now - since < LAG_S:
+            return
+        self._lags.clear()
+        await self._pull(digest)
+
+    def _find_ahead(self) -> tuple[_Lag, Digest] | None:
+        for kind in REQUIRED:
+            known = self._belief.changed.get(kind, 0)
+            if not self._belief.is_known(kind):
+                known = -1
+            best = max(
+                self._live,
+                key=lambda one: one.revisions.get(kind.value, -1),
+                default=None,
+            )
+            if best is None:
+                continue
+            revision = best.revisions.get(kind.value, -1)
+            if revision > known:
+                return _Lag(kind, revision), best
+        return None
+
+    async def _pull(self, digest: Digest) -> None:
+        pool = ConnectionPool(f"{digest.host}:{self._port}")
+        try:
+            copy = await self._ask(pool, NO_CURSOR, 0.0, PULL_LIMIT_S)
+        except (ExchangeError, RecordInvalid) as error:
+            _log.warning("No records from %s: %s", digest.name, error)
+            return
+        finally:
+            pool.close()
+        apply_copy(self._belief, copy, read_monotonic())
+        _log.info("Took over the records of %s.", digest.name)
--- a/src/gypsummount/_edge/mirror.py
+++ b/src/gypsummount/_edge/mirror.py
@@ -6,6 +6,7 @@
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.logs import get_logger
 from gypsummount._core.charts import Machine
+from gypsummount._core.readers import Contact
 from gypsummount._edge.belief import Belief
 from gypsummount._edge.feed import Feed
 from gypsummount._edge.feed import Kind
@@ -22,6 +23,7 @@
 LONGEST_PAUSE_S = 0.8
 PROOF_AGE_S = 1.0
 PROOF_STEP_S = 0.15
+IDLE_LOOK_S = 0.05
 FAILURES_TO_LOSE = 3
 
 _log = get_logger("mirror")
@@ -51,6 +53,11 @@
         if self._machine.can_fire("answered"):
             self._machine.fire("answered")
 
+    @property
+    def is_lost(self) -> bool:
+        """Tell whether the latest calls all failed."""
+        return self._machine.state == "lost"
+
     def note_failure(self, error: StoreError) -> None:
         """Record a call that failed."""
         self._failures += 1
@@ -62,18 +69,34 @@
 
 
 class Mirror:
-    """Keeps the belief up to date from the store."""
+    """Keeps the belief up to date from the store.
+
+    Only while ``is_reading`` is true are new calls begun; a watch that
+    is open then ends by itself.
+    """
 
     def __init__(self, feed: Feed, belief: Belief, random: Random) -> None:
         self._feed = feed
         self._belief = belief
         self._random = random
         self.contact = StoreContact(belief)
+        self.is_reading = True
+
+    def find_contact(self) -> Contact:
+        """Return what peers are told of the store as seen from here."""
+        if self.contact.is_lost:
+            return Contact.LOST
+        if self.is_reading and self.contact.is_connected:
+            return Contact.CONNECTED
+        return Contact.IDLE
 
     async def follow(self, kind: Kind) -> None:
         """List a kind and follow its changes for ever."""
         pause_s = FIRST_PAUSE_S
         while True:
+            if not self.is_reading:
+                await sleep(IDLE_LOOK_S)
+                continue
             try:
                 await self._list(kind)
                 pause_s = FIRST_PAUSE_S
@@ -91,6 +114,8 @@
         Instances wait for longer the higher their rank, so that one
         reads for all while it can.
         """
+        if not self.is_reading:
+            return
         now = read_monotonic()
         age_s = self._belief.proof.find_age(now)
         limit_s = PROOF_AGE_S + PROOF_STEP_S * rank
@@ -112,7 +137,7 @@
             )
 
     async def _watch(self, kind: Kind) -> None:
-        while True:
+        while self.is_reading:
             revision = self._belief.revisions[kind]
             changes = await self._feed.watch(kind, revision, WATCH_S[kind])
             self.contact.note_answer()
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -16,9 +16,9 @@
 from gypsummount._core.charts import Machine
 from gypsummount._core.freshness import FreshnessProof
 from gypsummount._core.quotas import QuotaShares
+from gypsummount._core.readers import Contact
 from gypsummount._edge.admission import Admission
 from gypsummount._edge.belief import Belief
-from gypsummount._edge.copies import Copies
 from gypsummount._edge.decisions import DecisionLog
 from gypsummount._edge.digests import Acquaintance
 from gypsummount._edge.digests import Digest
@@ -31,6 +31,7 @@
 from gypsummount._edge.feed import Feed
 from gypsummount._edge.feed import InstanceRecord
 from gypsummount._edge.feed import Kind
+from gypsummount._edge.following import Following
 from gypsummount._edge.front import EdgeFront
 from gypsummount._edge.gossip import Gossip
 from gypsummount._edge.mirror import Mirror
@@ -41,6 +42,7 @@
 from gypsummount._edge.rollouts import Rollouts
 from gypsummount._edge.selection import Selection
 from gypsummount._edge.settings import EdgeSettings
+from gypsummount._edge.sharing import RecordServer
 from gypsummount._edge.wire import Wire
 from gypsummount.errors import StoreError
 
@@ -77,7 +79,14 @@
         self._quotas = QuotaShares(START_SHARE)
         self._rollouts = Rollouts(settings.instance, self.belief, feed)
         self._mirror = Mirror(feed, self.belief, random)
-        self._copies = Copies(self.belief, settings.peer_port)
+        self._records = RecordServer(self.belief, self._incarnation)
+        self._following = Following(
+            settings.instance,
+            settings.region,
+            settings.peer_port,
+            self.belief,
+            self._mirror,
+        )
         self._gossip = Gossip(
             settings.instance,
             settings.host,
@@ -172,8 +181,9 @@
         for host in settings.seeds:
             self._gossip.add_host("", host)
         peer_address = f"{settings.host}:{settings.peer_port}"
-        self._copies.listen(bind_address("peer port", peer_address))
-        stack.push_async_callback(self._copies.close)
+        self._records.listen(bind_address("peer port", peer_address))
+        stack.push_async_callback(self._records.close)
+        stack.callback(self._following.close)
         self.front.listen(bind_address("listen", settings.listen))
         stack.push_async_callback(self.front.close)
 
@@ -182,6 +192,7 @@
             start_task(
                 stack, self._mirror.follow(kind), f"mirror.{kind.value}"
             )
+        start_task(stack, self._following.run(), "following")
         steps = (
             (self._tell, GOSSIP_S, "gossip"),
             (self._plan, PLAN_S, "plan"),
@@ -217,10 +228,8 @@
         self.belief.expire_held(now)
         self._follow_fleet(now)
         self._selection.update()
-        await self._copies.catch_up(
-            self.peers.list_live(now),
-            has_store=self._mirror.contact.is_connected,
-        )
+        self._following.follow_fleet(self.peers.list_live(now))
+        await self._following.catch_up()
 
     async def _drive(self) -> None:
         live = self.peers.list_live(read_monotonic())
@@ -228,7 +237,9 @@
 
     async def _prove(self) -> None:
         live = self.peers.list_live(read_monotonic())
-        readers = [one for one in live if one.has_store]
+        readers = [
+            one for one in live if one.contact == Contact.CONNECTED.value
+        ]
         await self._mirror.prove(self._find_rank(readers))
 
     def _find_rank(self, live: list[Digest]) -> int:
@@ -284,7 +295,7 @@
             echo,
             self.belief.catalog_revision,
             self.belief.proof.find_age(now),
-            self._mirror.contact.is_connected,
+            self._mirror.find_contact().value,
             self._quotas.list_demands(),
             self._selection.list_demand(),
             {kind.value: rev for kind, rev in self.belief.changed.items()},
--- /dev/null
+++ b/src/gypsummount/_edge/sharing.py
@@ -0,0 +1,86 @@
+"""The server from which peers copy this instance's records."""
+
+from asyncio import Event
+from asyncio import sleep
+from asyncio import wait_for
+from typing import final
+
+from tornado.httputil import HTTPServerRequest
+from tornado.iostream import StreamClosedError
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._common.logs import get_logger
+from gypsummount._common.serving import RequestServer
+from gypsummount._edge.belief import Belief
+from gypsummount._edge.copies import build_copy
+from gypsummount._edge.copies import Cursor
+from gypsummount._edge.copies import encode_copy
+from gypsummount._edge.front import write_plain
+
+RECORDS_PATH = "/v1/records"
+LONGEST_WAIT_S = 5.0
+GATHER_S = 0.02
+MAX_BODY_BYTES = 1024
+
+_log = get_logger("sharing")
+
+
+@final
+class RecordServer(RequestServer):
+    """Answers with records, at once or when they change.
+
+    The query holds the receiver's cursor (``incarnation``, ``sequence``)
+    and ``wait``, the seconds that it waits for a change.
+    """
+
+    def __init__(self, belief: Belief, incarnation: int) -> None:
+        super().__init__(MAX_BODY_BYTES)
+        self._belief = belief
+        self._incarnation = incarnation
+        self._changed = Event()
+        belief.listen(self._wake)
+
+    def _answer_at_once(self, request: HTTPServerRequest) -> bool:
+        if request.path == RECORDS_PATH:
+            return False
+        write_plain(request, 404, "text/plain", b"not found\n")
+        return True
+
+    async def _serve(self, request: HTTPServerRequest) -> None:
+        try:
+            cursor = Cursor(
+                int(_read_argument(request, "incarnation")),
+                int(_read_argument(request, "sequence")),
+            )
+            wait_s = float(_read_argument(request, "wait"))
+        except ValueError as error:
+            text = f"an argument is no number ({error})\n"
+            write_plain(request, 400, "text/plain", text.encode())
+            return
+        await self._wait(cursor, min(wait_s, LONGEST_WAIT_S))
+        copy = build_copy(
+            self._belief, self._incarnation, cursor, read_monotonic()
+        )
+        request.connection.set_close_callback(None)
+        try:
+            write_plain(request, 200, "application/json", encode_copy(copy))
+        except StreamClosedError:
+            _log.debug("A follower left before its answer.")
+
+    async def _wait(self, cursor: Cursor, wait_s: float) -> None:
+        """Wait for a change, and a little for those that come with it."""
+        if cursor != Cursor(self._incarnation, self._belief.sequence):
+            return
+        try:
+            await wait_for(self._changed.wait(), wait_s)
+        except TimeoutError:
+            return
+        await sleep(GATHER_S)
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = Event()
+
+
+def _read_argument(request: HTTPServerRequest, name: str) -> str:
+    return request.arguments.get(name, [b"0"])[-1].decode("ascii", "replace")
--- /dev/null
+++ b/tests/edge/test_copies.py
@@ -0,0 +1,130 @@
+"""Copies of records between instances: whole, in part, out of order."""
+
+from json import dumps
+
+import pytest
+
+from gypsummount._core.freshness import FreshnessProof
+from gypsummount._edge.belief import Belief
+from gypsummount._edge.belief import MAX_TOUCHES
+from gypsummount._edge.belief import REQUIRED
+from gypsummount._edge.copies import apply_copy
+from gypsummount._edge.copies import build_copy
+from gypsummount._edge.copies import Cursor
+from gypsummount._edge.copies import decode_copy
+from gypsummount._edge.copies import encode_copy
+from gypsummount._edge.copies import NO_CURSOR
+from gypsummount._edge.feed import Kind
+from gypsummount._edge.feed import Listing
+from gypsummount._edge.feed import Record
+from gypsummount.errors import RecordInvalid
+from gypsummount.platform.documents import decode_record
+
+INCARNATION = 7
+NOW = 100.0
+
+
+class DecodingFeed:
+    """The part of a feed that a belief uses."""
+
+    def decode(self, record):
+        return decode_record(record)
+
+
+def build_belief():
+    belief = Belief(DecodingFeed(), FreshnessProof(4.0))
+    for kind in REQUIRED:
+        belief.take_listing(kind, Listing((), 5), NOW)
+    return belief
+
+
+def build_upstream(name, revision, state="ready", *, is_deleted=False):
+    body = {
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "z1",
+        "version": "v1",
+        "slots": 2,
+        "state": state,
+        "sequence": 1,
+        "coldRemainingS": 0,
+    }
+    payload = dumps({"specification": body}).encode()
+    return Record(Kind.UPSTREAM, name, revision, payload, is_deleted)
+
+
+def change(belief, *records):
+    revision = max(one.revision for one in records)
+    belief.take_changes(Kind.UPSTREAM, Listing(records, revision), NOW)
+
+
+def send(source, target, after=NO_CURSOR):
+    """Copy what is new to the target, over the wire's encoding."""
+    copy = decode_copy(
+        encode_copy(build_copy(source, INCARNATION, after, NOW))
+    )
+    apply_copy(target, copy, NOW)
+    return copy
+
+
+@pytest.fixture
+def reader():
+    return build_belief()
+
+
+@pytest.fixture
+def follower():
+    return build_belief()
+
+
+class TestCopies:
+    def test_first_copy_is_whole(self, reader, follower):
+        change(reader, build_upstream("i-1", 6), build_upstream("i-2", 7))
+        copy = send(reader, follower)
+        assert all(part.is_whole for part in copy.kinds)
+        assert set(follower.upstreams) == {"i-1", "i-2"}
+
+    def test_next_copy_holds_only_what_changed(self, reader, follower):
+        change(reader, build_upstream("i-1", 6), build_upstream("i-2", 7))
+        first = send(reader, follower)
+        change(reader, build_upstream("i-2", 8, "draining"))
+        copy = send(reader, follower, first.cursor)
+        sent = [
+            one.name for part in copy.kinds for one in part.listing.records
+        ]
+        assert sent == ["i-2"]
+        assert not follower.upstreams["i-2"].is_ready
+        assert follower.upstreams["i-1"].is_ready
+
+    def test_removal_is_copied(self, reader, follower):
+        change(reader, build_upstream("i-1", 6))
+        first = send(reader, follower)
+        change(reader, build_upstream("i-1", 9, is_deleted=True))
+        send(reader, follower, first.cursor)
+        assert follower.upstreams == {}
+
+    def test_older_copy_takes_nothing_back(self, reader, follower):
+        change(reader, build_upstream("i-1", 6))
+        change(follower, build_upstream("i-1", 8, "draining"))
+        send(reader, follower)
+        assert not follower.upstreams["i-1"].is_ready
+
+    def test_another_incarnation_gets_a_whole_copy(self, reader, follower):
+        change(reader, build_upstream("i-1", 6))
+        before = Cursor(INCARNATION - 1, reader.sequence)
+        copy = send(reader, follower, before)
+        assert set(follower.upstreams) == {"i-1"}
+        assert all(part.is_whole for part in copy.kinds)
+
+    def test_forgotten_changes_lead_to_a_whole_copy(self, reader, follower):
+        first = send(reader, follower)
+        for number in range(MAX_TOUCHES + 10):
+            change(reader, build_upstream(f"i-{number}", 10 + number))
+        copy = send(reader, follower, first.cursor)
+        assert all(part.is_whole for part in copy.kinds)
+        assert len(follower.upstreams) == MAX_TOUCHES + 10
+
+    def test_other_bytes_are_no_copy(self):
+        for body in (b"", b"[]", b'{"kinds": 1}', b"\xff"):
+            with pytest.raises(RecordInvalid):
+                decode_copy(body)
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -68,14 +68,18 @@
         self.changed = Event()
 
     async def watch(self, kind, revision, wait_s):
-        found = self.list_events(kind, revision)
-        if not found and revision >= self.first_event:
-            try:
-                await wait_for(self.changed.wait(), wait_s)
-            except TimeoutError:
-                pass
+        """Return events of a kind; changes of others wake nobody."""
+        try:
+            return await wait_for(self._find_events(kind, revision), wait_s)
+        except TimeoutError:
+            return []
+
+    async def _find_events(self, kind, revision):
+        while True:
             found = self.list_events(kind, revision)
-        return found
+            if found or self.cut_watches or revision < self.first_event:
+                return found
+            await self.changed.wait()
 
     def list_events(self, kind, revision):
         return [
--- /dev/null
+++ b/tests/platform/test_following.py
@@ -0,0 +1,89 @@
+"""Many instances of a region: one reads the store, the others follow."""
+
+from asyncio import sleep
+from signal import SIGCONT
+from signal import SIGKILL
+from signal import SIGSTOP
+
+import pytest
+
+from gypsummount._common.clocks import read_monotonic
+from tests.platform.conftest import KEY
+from tests.platform.standin import build_config
+
+SETTLE_S = 2.0
+MEASURE_S = 4.0
+IN_FORCE_S = 2.5
+FIRST = 1
+SECOND = 3
+THIRD = 5
+
+
+@pytest.fixture
+async def region(deployment):
+    """Return three instances of one region; the first one reads."""
+    numbers = (FIRST, SECOND, THIRD)
+    for number in numbers:
+        deployment.start(number)
+    await deployment.wait_ready(*numbers)
+    await sleep(SETTLE_S)
+    return deployment
+
+
+async def find_delay(deployment, number, key):
+    """Return the seconds until a key is in force at an instance."""
+    began = read_monotonic()
+    while (
+        await deployment.call(number, "GET", "/read/x", key=key)
+    ).status != 200:
+        assert read_monotonic() - began < IN_FORCE_S, deployment.read_log(
+            number
+        )
+        await sleep(0.05)
+    return read_monotonic() - began
+
+
+class TestCalls:
+    async def test_followers_add_no_calls_when_records_change(self, region):
+        before = region.store.calls
+        for version in range(4, 4 + int(MEASURE_S * 4)):
+            region.store.put("config", "main", build_config(version, [KEY]))
+            await sleep(0.25)
+        changes = int(MEASURE_S * 4)
+        proofs = MEASURE_S * 1.5
+        other_watches = 6
+        calls = region.store.calls - before
+        assert calls <= changes + proofs + other_watches
+
+    async def test_followers_get_each_change(self, region):
+        region.store.put("config", "main", build_config(4, ["new"]))
+        for number in (FIRST, SECOND, THIRD):
+            await find_delay(region, number, "new")
+
+
+class TestLossOfTheReader:
+    async def test_change_is_in_force_after_the_reader_was_killed(
+        self, region
+    ):
+        region.processes[FIRST].send_signal(SIGKILL)
+        region.store.put("config", "main", build_config(4, ["new"]))
+        for number in (SECOND, THIRD):
+            await find_delay(region, number, "new")
+
+    async def test_change_is_in_force_while_the_reader_is_frozen(self, region):
+        region.processes[FIRST].send_signal(SIGSTOP)
+        try:
+            region.store.put("config", "main", build_config(4, ["new"]))
+            for number in (SECOND, THIRD):
+                await find_delay(region, number, "new")
+        finally:
+            region.processes[FIRST].send_signal(SIGCONT)
+        await find_delay(region, FIRST, "new")
+
+    async def test_change_is_in_force_when_the_store_returns(self, region):
+        region.store.is_out = True
+        await sleep(2.0)
+        region.store.put("config", "main", build_config(4, ["new"]))
+        region.store.is_out = False
+        for number in (FIRST, SECOND, THIRD):
+            await find_delay(region, number, "new")
