--- a/src/gypsummount/_edge/digests.py
+++ b/src/gypsummount/_edge/digests.py
@@ -5,11 +5,20 @@
 from dataclasses import field
 from json import dumps
 from json import loads
+from struct import error as StructError
+from struct import Struct
+from zlib import compress
+from zlib import decompressobj
+from zlib import error as ZlibError
 
 from gypsummount._core.judgement import Evidence
 from gypsummount._core.quotas import QuotaDemand
 from gypsummount.errors import RecordInvalid
 
+COMPRESSION_LEVEL = 1
+MAX_TEXT_BYTES = 1 << 20
+# The receiver's incarnation and its boot clock (s).
+ECHO_FORMAT = Struct("!Qd")
 STARTING = "starting"
 SERVING = "serving"
 LEAVING = "leaving"
@@ -78,9 +87,36 @@
     known: tuple[Acquaintance, ...] = ()
 
 
-def encode_digest(digest: Digest) -> bytes:
-    """Return the datagram of a digest."""
-    return dumps(asdict(digest), separators=(",", ":")).encode()
+def encode_body(digest: Digest) -> bytes:
+    """Return what all receivers of a digest get, compressed."""
+    raw = {
+        "name": digest.name,
+        "incarnation": digest.incarnation,
+        "host": digest.host,
+        "address": digest.address,
+        "domain": digest.domain,
+        "region": digest.region,
+        "phase": digest.phase,
+        "sent_at": digest.sent_at,
+        "catalog_revision": digest.catalog_revision,
+        "proof_age_s": digest.proof_age_s,
+        "contact": digest.contact,
+        "quotas": [
+            [name, one.demand, one.share]
+            for name, one in digest.quotas.items()
+        ],
+        "demand": digest.demand,
+        "revisions": digest.revisions,
+        "rollouts": [asdict(one) for one in digest.rollouts],
+        "known": [[one.name, one.host] for one in digest.known],
+    }
+    text = dumps(raw, separators=(",", ":"))
+    return compress(text.encode(), COMPRESSION_LEVEL)
+
+
+def join_echo(echo: Echo, body: bytes) -> bytes:
+    """Return the datagram for one receiver."""
+    return ECHO_FORMAT.pack(echo.incarnation, echo.at) + body
 
 
 def decode_digest(datagram: bytes) -> Digest:
@@ -89,22 +125,38 @@
     :raises RecordInvalid: when it is not one.
     """
     try:
-        raw = loads(datagram)
+        echo = Echo(*ECHO_FORMAT.unpack_from(datagram))
+        raw = loads(_decompress(datagram[ECHO_FORMAT.size :]))
         raw["quotas"] = {
-            name: QuotaDemand(float(one["demand"]), float(one["share"]))
-            for name, one in raw["quotas"].items()
+            name: QuotaDemand(float(demand), float(share))
+            for name, demand, share in raw["quotas"]
         }
-        raw["echo"] = Echo(**raw["echo"])
         raw["rollouts"] = tuple(_decode_news(one) for one in raw["rollouts"])
-        raw["known"] = tuple(Acquaintance(**one) for one in raw["known"])
-        return Digest(**raw)
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raw["known"] = tuple(Acquaintance(*one) for one in raw["known"])
+        return Digest(echo=echo, **raw)
+    except (
+        StructError,
+        ZlibError,
+        ValueError,
+        KeyError,
+        TypeError,
+        AttributeError,
+    ) as error:
         raise RecordInvalid(
             f"a datagram is no digest ({error!r}); look who sends to the "
             "gossip port"
         ) from None
 
 
+def _decompress(body: bytes) -> bytes:
+    """Return the text of a body, refusing one that grows too large."""
+    stream = decompressobj()
+    text = stream.decompress(body, MAX_TEXT_BYTES)
+    if not stream.eof:
+        raise ValueError("it is cut or too large")
+    return text
+
+
 def _decode_news(raw: dict) -> RolloutNews:
     raw["evidence"] = tuple(Evidence(**one) for one in raw["evidence"])
     return RolloutNews(**raw)
--- a/src/gypsummount/_edge/gossip.py
+++ b/src/gypsummount/_edge/gossip.py
@@ -4,24 +4,23 @@
 from asyncio import DatagramTransport
 from asyncio import get_running_loop
 from collections.abc import Callable
-from random import Random
 
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.logs import get_logger
+from gypsummount._core.rotation import Rotation
 from gypsummount._edge.digests import Acquaintance
 from gypsummount._edge.digests import decode_digest
 from gypsummount._edge.digests import Digest
-from gypsummount._edge.digests import Echo
-from gypsummount._edge.digests import encode_digest
+from gypsummount._edge.digests import encode_body
+from gypsummount._edge.digests import join_echo
 from gypsummount._edge.peers import Peers
 from gypsummount.errors import RecordInvalid
 
-MAX_TARGETS = 16
 MAX_KNOWN = 12
 
 _log = get_logger("gossip")
 
-DigestBuilder = Callable[[Echo, tuple[Acquaintance, ...]], Digest]
+DigestBuilder = Callable[[tuple[Acquaintance, ...]], Digest]
 DigestTaker = Callable[[Digest], None]
 
 
@@ -36,7 +35,6 @@
         peers: Peers,
         build: DigestBuilder,
         take: DigestTaker,
-        random: Random,
     ) -> None:
         self._name = name
         self._host = host
@@ -44,7 +42,8 @@
         self._peers = peers
         self._build = build
         self._take = take
-        self._random = random
+        self._near = Rotation()
+        self._far = Rotation()
         self._hosts: dict[str, str] = {}
         self._transport: DatagramTransport | None = None
 
@@ -70,12 +69,18 @@
             self._hosts[host] = name
 
     def tell_peers(self) -> None:
-        """Send the digest to peers, a bounded number each time."""
-        hosts = list(self._hosts)
-        if len(hosts) > MAX_TARGETS:
-            hosts = self._random.sample(hosts, MAX_TARGETS)
-        for host in hosts:
-            self._tell(host, self._hosts[host])
+        """Send the digest to the peers whose turn it is."""
+        near = []
+        far = []
+        for host, name in self._hosts.items():
+            (far if self._peers.is_far(name) else near).append(host)
+        turns = self._peers.find_turns()
+        self._tell(self._near.take(near, turns.near))
+        self._tell(self._far.take(far, turns.far))
+
+    def tell_everyone(self) -> None:
+        """Send the digest to every peer, for news that cannot wait."""
+        self._tell(list(self._hosts))
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take a peer's digest."""
@@ -97,11 +102,14 @@
         """Note that a peer's host refused a datagram."""
         _log.debug("A datagram was refused: %s", exc)
 
-    def _tell(self, host: str, name: str) -> None:
-        echo = self._peers.find_echo(name)
+    def _tell(self, hosts: list[str]) -> None:
+        if not hosts:
+            return
         known = tuple(
             Acquaintance(one.name, one.host)
             for one in self._peers.list_known()[:MAX_KNOWN]
         )
-        datagram = encode_digest(self._build(echo, known))
-        self._transport.sendto(datagram, (host, self._port))
+        body = encode_body(self._build(known))
+        for host in hosts:
+            echo = self._peers.find_echo(self._hosts[host])
+            self._transport.sendto(join_echo(echo, body), (host, self._port))
--- a/src/gypsummount/_edge/peers.py
+++ b/src/gypsummount/_edge/peers.py
@@ -3,13 +3,19 @@
 from dataclasses import dataclass
 
 from gypsummount._core.quotas import PeerQuotas
+from gypsummount._core.rotation import count_rounds
 from gypsummount._edge.digests import Digest
 from gypsummount._edge.digests import Echo
 from gypsummount._edge.digests import LEAVING
 from gypsummount._edge.digests import NO_ECHO
 from gypsummount._edge.digests import SERVING
 
+GOSSIP_S = 0.4
 LIVE_S = 1.7
+MISSED_TURNS = 3
+MOST_NEAR = 12
+MOST_TARGETS = 16
+LEAST_FAR = 6
 NAMED_ALONE_S = 5.0
 FORGET_S = 40.0
 LEAVING_S = 6.0
@@ -23,10 +29,34 @@
     heard_at: float
 
 
+@dataclass(slots=True, frozen=True)
+class Turns:
+    """How many peers of the own and of other regions a round tells."""
+
+    near: int
+    far: int
+
+
+@dataclass(slots=True, frozen=True)
+class _Spans:
+    """How long (s) a peer counts as live after its last word."""
+
+    near: float
+    far: float
+
+    def find(self, digest: Digest, region: str) -> float:
+        return self.near if digest.region == region else self.far
+
+
 class Peers:
-    """Who is heard, and what they said last."""
+    """Who is heard, and what they said last.
+
+    In a large fleet a peer is told only each few rounds, and those of
+    other regions less often, so it counts as live for longer.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, region: str) -> None:
+        self._region = region
         self._peers: dict[str, Peer] = {}
         self.heard_at = float("-inf")
 
@@ -44,6 +74,32 @@
         self.heard_at = now
         return True
 
+    def is_far(self, name: str) -> bool:
+        """Tell whether a peer is known to be in another region."""
+        known = self._peers.get(name)
+        return known is not None and known.digest.region != self._region
+
+    def find_turns(self) -> Turns:
+        """Return how many peers are told in a round."""
+        near = self.count_region(self._region)
+        return Turns(MOST_NEAR, max(LEAST_FAR, MOST_TARGETS - near))
+
+    def find_gap(self, *, is_far: bool) -> float:
+        """Return the longest time (s) between two words of a peer."""
+        near = self.count_region(self._region)
+        turns = self.find_turns()
+        if is_far:
+            rounds = count_rounds(len(self._peers) - near, turns.far)
+        else:
+            rounds = count_rounds(near, turns.near)
+        return rounds * GOSSIP_S
+
+    def _find_spans(self) -> _Spans:
+        return _Spans(
+            max(LIVE_S, MISSED_TURNS * self.find_gap(is_far=False)),
+            max(LIVE_S, MISSED_TURNS * self.find_gap(is_far=True)),
+        )
+
     def find_echo(self, name: str) -> Echo:
         """Return what a peer is told of its latest digest."""
         known = self._peers.get(name)
@@ -53,12 +109,18 @@
 
     def list_live(self, now: float) -> list[Digest]:
         """Return the digests of the peers that are heard and stay."""
+        spans = self._find_spans()
         return [
             peer.digest
             for peer in self._peers.values()
-            if now - peer.heard_at <= LIVE_S and peer.digest.phase != LEAVING
+            if self._is_heard(peer, spans, now)
+            and peer.digest.phase != LEAVING
         ]
 
+    def _is_heard(self, peer: Peer, spans: _Spans, now: float) -> bool:
+        span = spans.find(peer.digest, self._region)
+        return now - peer.heard_at <= span
+
     def list_known(self) -> list[Digest]:
         """Return the latest digest of every peer that may still live."""
         return [peer.digest for peer in self._peers.values()]
@@ -69,19 +131,22 @@
         An instance that hears nobody does not trust its own view and
         goes on naming the others for :data:`NAMED_ALONE_S`.
         """
-        span = LIVE_S
+        spans = self._find_spans()
         if now - self.heard_at > LIVE_S:
-            span = NAMED_ALONE_S
+            longest = max(NAMED_ALONE_S, spans.near)
+            spans = _Spans(longest, max(longest, spans.far))
         return [
             peer.digest
             for peer in self._peers.values()
-            if now - peer.heard_at <= span and peer.digest.phase == SERVING
+            if self._is_heard(peer, spans, now)
+            and peer.digest.phase == SERVING
         ]
 
     def list_quotas(self, now: float) -> list[PeerQuotas]:
         """Return what peers said of quotas, heard or not."""
+        spans = self._find_spans()
         return [
-            PeerQuotas(now - peer.heard_at <= LIVE_S, peer.digest.quotas)
+            PeerQuotas(self._is_heard(peer, spans, now), peer.digest.quotas)
             for peer in self._peers.values()
         ]
 
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -22,7 +22,6 @@
 from gypsummount._edge.decisions import DecisionLog
 from gypsummount._edge.digests import Acquaintance
 from gypsummount._edge.digests import Digest
-from gypsummount._edge.digests import Echo
 from gypsummount._edge.digests import LEAVING
 from gypsummount._edge.digests import NO_ECHO
 from gypsummount._edge.digests import SERVING
@@ -36,6 +35,7 @@
 from gypsummount._edge.gossip import Gossip
 from gypsummount._edge.mirror import Mirror
 from gypsummount._edge.mirror import WATCH_S
+from gypsummount._edge.peers import GOSSIP_S
 from gypsummount._edge.peers import Peers
 from gypsummount._edge.proxy import Proxy
 from gypsummount._edge.repeats import Repeats
@@ -46,7 +46,6 @@
 from gypsummount._edge.wire import Wire
 from gypsummount.errors import StoreError
 
-GOSSIP_S = 0.4
 PLAN_S = 0.1
 DRIVE_S = 0.3
 PROVE_S = 0.2
@@ -72,7 +71,7 @@
         limit_s = settings.bounds.proof_limit_s
         self.metrics = Metrics(None, "")
         self.belief = Belief(feed, FreshnessProof(limit_s))
-        self.peers = Peers()
+        self.peers = Peers(settings.region)
         self._selection = Selection(
             self.belief, settings.region, settings.regions
         )
@@ -94,7 +93,6 @@
             self.peers,
             self._build_digest,
             self._take_digest,
-            random,
         )
         self.front = EdgeFront(
             Proxy(
@@ -138,13 +136,13 @@
         _log.info("Stopping.")
         self._stopping.set()
         self.front.is_closing = True
-        self._gossip.tell_peers()
+        self._gossip.tell_everyone()
 
     def list_named(self) -> list[Digest]:
         """Return the instances that callers may be sent to."""
         named = self.peers.list_named(read_monotonic())
         if self.phase == SERVING:
-            named.append(self._build_digest(NO_ECHO, ()))
+            named.append(self._build_digest(()))
         return named
 
     def write_metrics(self) -> str:
@@ -278,9 +276,7 @@
                 pacers[region] = 0 if known else everyone
         self._selection.follow_fleet(demand, pacers)
 
-    def _build_digest(
-        self, echo: Echo, known: tuple[Acquaintance, ...]
-    ) -> Digest:
+    def _build_digest(self, known: tuple[Acquaintance, ...]) -> Digest:
         settings = self._settings
         now = read_monotonic()
         return Digest(
@@ -292,7 +288,7 @@
             settings.region,
             self.phase,
             now,
-            echo,
+            NO_ECHO,
             self.belief.catalog_revision,
             self.belief.proof.find_age(now),
             self._mirror.find_contact().value,
