--- a/src/gypsummount/_core/backlog.py
+++ b/src/gypsummount/_core/backlog.py
@@ -111,9 +111,13 @@
         """Tell whether the upstream is neither ejected nor shedding."""
         return now >= self._ejected_until and now >= self._shut_until
 
+    def is_cold(self, now: float) -> bool:
+        """Tell whether the upstream still bears few requests only."""
+        return now < self.cold_until
+
     def has_pace(self, now: float, cold_limit: float) -> bool:
         """Tell whether a cold upstream may get one more this second."""
-        if now >= self.cold_until:
+        if not self.is_cold(now):
             return True
         while self._sent and self._sent[0] <= now - PACE_WINDOW_S:
             self._sent.pop(0)
--- a/src/gypsummount/_core/retries.py
+++ b/src/gypsummount/_core/retries.py
@@ -24,6 +24,11 @@
         """Return how many retries are allowed at present."""
         return self._saved
 
+    def limit(self, most: float) -> None:
+        """Set how many retries may be saved."""
+        self._most = most
+        self._saved = min(self._saved, most)
+
     def note_first_try(self) -> None:
         """Earn a share of a retry."""
         self._saved = min(self._most, self._saved + self._share)
--- a/src/gypsummount/_edge/peers.py
+++ b/src/gypsummount/_edge/peers.py
@@ -150,13 +150,17 @@
             for peer in self._peers.values()
         ]
 
+    def list_region(self, region: str) -> list[str]:
+        """Return the known peers of a region, heard or not."""
+        return [
+            name
+            for name, peer in self._peers.items()
+            if peer.digest.region == region and peer.digest.phase != LEAVING
+        ]
+
     def count_region(self, region: str) -> int:
         """Return how many known peers a region has, heard or not."""
-        return sum(
-            1
-            for peer in self._peers.values()
-            if peer.digest.region == region and peer.digest.phase != LEAVING
-        )
+        return len(self.list_region(region))
 
     def forget_old(self, now: float) -> None:
         """Drop peers that were silent for :data:`FORGET_S`."""
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -17,6 +17,7 @@
 from gypsummount._core.freshness import FreshnessProof
 from gypsummount._core.quotas import QuotaShares
 from gypsummount._core.readers import Contact
+from gypsummount._core.warming import Warming
 from gypsummount._edge.admission import Admission
 from gypsummount._edge.belief import Belief
 from gypsummount._edge.decisions import DecisionLog
@@ -76,6 +77,7 @@
             self.belief, settings.region, settings.regions
         )
         self._quotas = QuotaShares(START_SHARE)
+        self._repeats = Repeats()
         self._rollouts = Rollouts(settings.instance, self.belief, feed)
         self._mirror = Mirror(feed, self.belief, random)
         self._records = RecordServer(self.belief, self._incarnation)
@@ -99,7 +101,7 @@
                 self.belief,
                 self._selection,
                 Admission(self.belief, self._quotas, self._rollouts),
-                Repeats(),
+                self._repeats,
                 wire,
                 settings.region,
             ),
@@ -226,6 +228,7 @@
         self.belief.expire_held(now)
         self._follow_fleet(now)
         self._selection.update()
+        self._repeats.follow_fleet(len(self.peers.list_known()) + 1)
         self._following.follow_fleet(self.peers.list_live(now))
         await self._following.catch_up()
 
@@ -265,16 +268,19 @@
             into = demand.setdefault(digest.region, {})
             for service, rate in digest.demand.items():
                 into[service] = into.get(service, 0.0) + rate
-        own = self._settings.region
-        everyone = len(self.peers.list_known()) + 1
-        pacers = {}
+        self._selection.follow_fleet(demand, self._build_warming())
+
+    def _build_warming(self) -> Warming:
+        """Let each region's instances warm it; all, where it has none."""
+        own = self._settings.instance
+        everyone = [one.name for one in self.peers.list_known()]
+        by_region = {}
         for region in set(self._settings.regions.values()):
-            known = self.peers.count_region(region)
-            if region == own:
-                pacers[region] = known + 1
-            else:
-                pacers[region] = 0 if known else everyone
-        self._selection.follow_fleet(demand, pacers)
+            names = self.peers.list_region(region)
+            if region == self._settings.region:
+                names = [*names, own]
+            by_region[region] = tuple(names or [*everyone, own])
+        return Warming(own, by_region)
 
     def _build_digest(self, known: tuple[Acquaintance, ...]) -> Digest:
         settings = self._settings
--- a/src/gypsummount/_edge/selection.py
+++ b/src/gypsummount/_edge/selection.py
@@ -15,6 +15,7 @@
 from gypsummount._core.placement import mix_hashes
 from gypsummount._core.placement import RegionLoad
 from gypsummount._core.placement import RegionPlan
+from gypsummount._core.warming import Warming
 from gypsummount._edge.backends import Backend
 from gypsummount._edge.backends import Backends
 from gypsummount._edge.backends import Need
@@ -85,7 +86,7 @@
         self._seen_changes = -1
         self._number = 0
         self._peer_demand: dict[str, dict[str, float]] = {}
-        self._pacers: dict[str, int] = {}
+        self._warming = Warming("")
         self._measured_at = read_monotonic()
         self._settled_at = self._measured_at + SETTLE_S
 
@@ -103,15 +104,11 @@
     def follow_fleet(
         self,
         demand: dict[str, dict[str, float]],
-        pacers: dict[str, int],
+        warming: Warming,
     ) -> None:
-        """Take peers' demand by region and service, and who paces.
-
-        ``pacers`` counts the instances that share the cold pace of a
-        region's upstreams, this one included; 0 where it has none.
-        """
+        """Take peers' demand by region and service, and who paces."""
         self._peer_demand = demand
-        self._pacers = pacers
+        self._warming = warming
 
     def update(self) -> None:
         """Measure demand, move the plans and serve the queues."""
@@ -290,7 +287,9 @@
             position += 1
             if cost_s is None or (best is not None and cost_s >= least_s):
                 continue
-            if not load.has_pace(now, self._find_pace(backend)):
+            if load.is_cold(now) and not load.has_pace(
+                now, self._find_pace(backend)
+            ):
                 continue
             best = Pick(backend, position - 1, estimate)
             least_s = cost_s
@@ -307,12 +306,12 @@
 
     def _find_pace(self, backend: Backend) -> float:
         """Return this instance's part of a cold upstream's rate."""
-        pacers = self._pacers.get(backend.region, 1)
         catalog = self._belief.catalog
-        if pacers <= 0 or catalog is None:
+        if catalog is None:
             return 0.0
         service = catalog.services.get(backend.record.service)
-        return service.cold_rate / pacers if service is not None else 0.0
+        rate = service.cold_rate if service is not None else 0.0
+        return self._warming.find_pace(backend.region, backend.load.seed, rate)
 
     def _rank(self, need: Need, region: str) -> list[Backend]:
         name = _RankName(need.service, region, need.hashed)
