--- a/src/gypsummount/_entry/steering.py
+++ b/src/gypsummount/_entry/steering.py
@@ -47,6 +47,7 @@
         self._versions = versions
         self._peers = peers
         self._region = region
+        self._turn = 0
 
     async def steer(self, request: SteeredRequest) -> StoredAnswer:
         """Admit a request and run it at most once if so required.
@@ -159,16 +160,36 @@
         await self._budgets.charge(budget, float(size), deadline)
 
     def _list_targets(self, service: str) -> list[Peer]:
-        free: list[tuple[bool, int, Peer]] = []
+        """Return the peers to ask: the nearest first, the rest in turn.
+
+        Reports are up to a second old.  So requests that come together
+        ask different peers; and if none shows a free slot, one that has
+        slots is asked all the same.
+        """
+        near: list[Peer] = []
+        far: list[Peer] = []
+        full: list[Peer] = []
         for peer in self._snapshot.peers:
             load = peer.entry.find_load(service)
-            if load is None or load.free < 1:
+            if load is None or peer.entry.phase != "serving":
                 continue
-            if peer.entry.phase == "serving":
-                abroad = peer.region != self._region
-                free.append((abroad, -load.free, peer))
-        free.sort(key=lambda row: row[:2])
-        return [peer for _, _, peer in free[:MAX_FORWARDS]]
+            if load.free < 1:
+                if load.total >= 1:
+                    full.append(peer)
+            elif peer.region == self._region:
+                near.append(peer)
+            else:
+                far.append(peer)
+        self._turn += 1
+        if not near and not far:
+            return self._rotate(full)[:1]
+        return (self._rotate(near) + self._rotate(far))[:MAX_FORWARDS]
+
+    def _rotate(self, peers: list[Peer]) -> list[Peer]:
+        if not peers:
+            return []
+        first = self._turn % len(peers)
+        return peers[first:] + peers[:first]
 
     def _observe(
         self,
--- /dev/null
+++ b/tests/entry/test_stale_reports.py
@@ -0,0 +1,120 @@
+"""A crowd at a domain without upstreams while peers' reports are old."""
+
+from asyncio import gather
+from types import SimpleNamespace
+
+import pytest
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._core.membership import EntryInfo
+from gypsummount._core.membership import ServiceLoad
+from gypsummount._entry.snapshot import Peer
+from gypsummount._entry.steering import Steering
+from gypsummount._entry.versions import Choice
+from gypsummount.errors import NoCapacity
+
+TIMEOUT_S = 1.0
+SLOTS = 4
+
+
+class _Budgets:
+    async def admit(self, budget, amount, deadline):
+        pass
+
+    def find_total(self, budget):
+        return None
+
+
+class _Versions:
+    def choose(self, route, now):
+        return Choice("v1")
+
+    def observe(self, route, choice, *, failed, latency_s):
+        pass
+
+
+class _OwnUpstreams:
+    """A domain whose upstreams are all drained."""
+
+    def has_free(self, service, version):
+        return False
+
+    def has_version(self, service, version):
+        return False
+
+
+class _PeerCalls:
+    """Peers that have room for few requests, whatever they reported."""
+
+    def __init__(self, *rooms):
+        self._rooms = list(rooms)
+        self.asked = []
+
+    async def forward_upstream(self, address, request, version):
+        self.asked.append(address)
+        if address in self._rooms:
+            self._rooms.remove(address)
+        else:
+            raise NoCapacity("no slot is free here; try another")
+        return SimpleNamespace(status=200)
+
+
+def create_peer(number, free, region="r1"):
+    load = ServiceLoad("rondas", free, SLOTS)
+    address = f"p{number}"
+    info = EntryInfo(address, "t", "", address, "serving", (load,))
+    return Peer(info, f"d{number}", region)
+
+
+def create_steering(peers, calls):
+    return Steering(
+        SimpleNamespace(peers=peers),
+        _Budgets(),
+        _OwnUpstreams(),
+        None,
+        _Versions(),
+        calls,
+        "r1",
+    )
+
+
+def create_request():
+    return SimpleNamespace(
+        workspace="w",
+        route=SimpleNamespace(service="rondas"),
+        size=10,
+        deadline=read_monotonic() + TIMEOUT_S,
+    )
+
+
+class TestStaleReports:
+    async def test_peer_that_reported_no_room_is_asked_when_none_has(self):
+        calls = _PeerCalls("p2")
+        peers = [create_peer(number, 0) for number in range(4)]
+        answer = await create_steering(peers, calls).steer(create_request())
+        assert answer.status == 200
+
+    async def test_peers_with_room_are_asked_first(self):
+        calls = _PeerCalls("p3")
+        peers = [create_peer(number, int(number == 3)) for number in range(4)]
+        await create_steering(peers, calls).steer(create_request())
+        assert calls.asked == ["p3"]
+
+    async def test_one_peer_is_asked_in_each_scan(self):
+        calls = _PeerCalls()
+        peers = [create_peer(number, 0) for number in range(4)]
+        with pytest.raises(NoCapacity):
+            await create_steering(peers, calls).steer(create_request())
+        assert len(calls.asked) <= TIMEOUT_S / 0.05 + 1
+        assert set(calls.asked) == {"p0", "p1", "p2", "p3"}
+
+    async def test_crowd_is_spread_over_all_regions(self):
+        """Two near peers have no room left, six far ones one slot each."""
+        far = [create_peer(number, SLOTS, "r2") for number in range(6)]
+        near = [create_peer(number, SLOTS) for number in (6, 7)]
+        calls = _PeerCalls(*(peer.entry.peer_address for peer in far))
+        steering = create_steering(near + far, calls)
+        answers = await gather(
+            *(steering.steer(create_request()) for _ in far)
+        )
+        assert [one.status for one in answers] == [200] * len(far)
