--- a/src/gypsummount/_core/backlog.py
+++ b/src/gypsummount/_core/backlog.py
@@ -10,6 +10,7 @@
 FIRST_WORK_S = 0.2
 FIRST_RATIO = 2.0
 MOST_LOAD = 2.0
+SPARE_PART = 0.6
 SECOND_PART = 0.7
 LEAST_EXTRA_S = 0.02
 MOST_KNOWN = 256
@@ -115,6 +116,10 @@
         """Tell whether the upstream still bears few requests only."""
         return now < self.cold_until
 
+    def has_spare(self, load: float) -> bool:
+        """Tell whether one more request that takes long fits at a load."""
+        return load + 1 <= self.record.slots * SPARE_PART
+
     def has_pace(self, now: float, cold_limit: float) -> bool:
         """Tell whether a cold upstream may get one more this second."""
         if not self.is_cold(now):
--- a/src/gypsummount/_edge/selection.py
+++ b/src/gypsummount/_edge/selection.py
@@ -262,36 +262,36 @@
         An object belongs to the first in its order, which knows it;
         the second helps out at the cost of the extra work of one that
         does not.  While neither is known to know the object, any other
-        with a free slot may learn it.
+        may learn it.  Those that have it to learn help only while they
+        are far from full: the extra work takes the place of several
+        requests for objects that they know.
         """
         best: Pick | None = None
         least_s = 0.0
-        position = 0
+        position = -1
         is_known = False
         for backend in self._rank(need, region):
-            if not backend.fits(need, tried):
-                continue
             load = backend.load
-            if not load.can_take(now):
+            if not backend.fits(need, tried) or not load.can_take(now):
                 continue
-            if position >= MOST_PLACES:
-                if is_known or best is not None:
-                    break
-                if load.estimate(now) >= load.record.slots:
-                    continue
+            position += 1
+            if position >= MOST_PLACES and (is_known or best is not None):
+                break
+            knows = load.knows(need.hashed)
+            is_known = is_known or knows
             estimate = load.estimate(now)
-            is_known = is_known or load.knows(need.hashed)
+            if position > 0 and not knows and not load.has_spare(estimate):
+                continue
             cost_s = view.work.find_cost(
                 position, estimate, load.record.slots, need.due - now
             )
-            position += 1
             if cost_s is None or (best is not None and cost_s >= least_s):
                 continue
             if load.is_cold(now) and not load.has_pace(
                 now, self._find_pace(backend)
             ):
                 continue
-            best = Pick(backend, position - 1, estimate)
+            best = Pick(backend, position, estimate)
             least_s = cost_s
         return best
 
