--- a/src/gypsummount/_core/freshness.py
+++ b/src/gypsummount/_core/freshness.py
@@ -26,8 +26,8 @@
     ) -> None:
         """Record a peer's word, given after it heard our question.
 
-        The peer's proof was ``age_s`` old when it answered, and it
-        answered after ``asked_at``, whatever the delays on the way.
+        The peer's proof was ``age_s`` old at some moment after
+        ``asked_at``, whatever the delays on the way.
         """
         if age_s is not None:
             self._take(revision, asked_at - age_s)
@@ -38,6 +38,13 @@
             return None
         return max(0.0, now - self.proved_at)
 
+    def find_lag(self, moment: float) -> float | None:
+        """Return how long (s) before a moment the proof was made.
+
+        It is negative for a proof that was made after the moment.
+        """
+        return moment - self.proved_at if self.revision else None
+
     def is_fresh(self, now: float) -> bool:
         """Tell whether keyed requests may still be sent."""
         return now - self.proved_at <= self.limit_s
--- a/src/gypsummount/_edge/copies.py
+++ b/src/gypsummount/_edge/copies.py
@@ -43,7 +43,11 @@
 
 @dataclass(slots=True, frozen=True)
 class Copy:
-    """What a sender knows beyond a cursor, and its proof's age (s)."""
+    """What a sender knows beyond a cursor, and its proof's age (s).
+
+    The age is that at the moment in which the question came, so it is
+    negative for a proof that was made while the question waited.
+    """
 
     cursor: Cursor
     kinds: tuple[CopiedKind, ...]
@@ -52,9 +56,12 @@
 
 
 def build_copy(
-    belief: Belief, incarnation: int, after: Cursor, now: float
+    belief: Belief, incarnation: int, after: Cursor, asked_at: float
 ) -> Copy:
-    """Return what changed after a cursor, or everything."""
+    """Return what changed after a cursor, or everything.
+
+    ``asked_at`` is when the question came (boot clock, s).
+    """
     touched = None
     if after.incarnation == incarnation:
         touched = belief.list_touched(after.sequence)
@@ -69,7 +76,7 @@
         Cursor(incarnation, belief.sequence),
         tuple(kinds),
         belief.catalog_revision,
-        belief.proof.find_age(now),
+        belief.proof.find_lag(asked_at),
     )
 
 
--- a/src/gypsummount/_edge/sharing.py
+++ b/src/gypsummount/_edge/sharing.py
@@ -47,6 +47,7 @@
         return True
 
     async def _serve(self, request: HTTPServerRequest) -> None:
+        asked_at = read_monotonic()
         try:
             cursor = Cursor(
                 int(_read_argument(request, "incarnation")),
@@ -58,9 +59,7 @@
             write_plain(request, 400, "text/plain", text.encode())
             return
         await self._wait(cursor, min(wait_s, LONGEST_WAIT_S))
-        copy = build_copy(
-            self._belief, self._incarnation, cursor, read_monotonic()
-        )
+        copy = build_copy(self._belief, self._incarnation, cursor, asked_at)
         request.connection.set_close_callback(None)
         try:
             write_plain(request, 200, "application/json", encode_copy(copy))
--- a/tests/edge/test_copies.py
+++ b/tests/edge/test_copies.py
@@ -128,3 +128,23 @@
         for body in (b"", b"[]", b'{"kinds": 1}', b"\xff"):
             with pytest.raises(RecordInvalid):
                 decode_copy(body)
+
+
+class TestProof:
+    def test_proof_made_while_the_question_waited_counts_from_its_time(
+        self, reader
+    ):
+        """A question that waits for changes must not age the proof."""
+        asked_at = NOW
+        reader.catalog_revision = 5
+        reader.proof.note_read(5, asked_at + 0.5)
+        copy = build_copy(reader, INCARNATION, NO_CURSOR, asked_at)
+        proof = FreshnessProof(4.0)
+        proof.note_peer(
+            copy.catalog_revision, asked_at - 0.01, copy.proof_age_s
+        )
+        assert proof.find_age(asked_at + 0.6) == pytest.approx(0.11)
+
+    def test_no_word_is_passed_on_without_a_proof(self, reader):
+        copy = build_copy(reader, INCARNATION, NO_CURSOR, NOW)
+        assert copy.proof_age_s is None
