--- a/src/gypsummount/_common/logs.py
+++ b/src/gypsummount/_common/logs.py
@@ -8,6 +8,7 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from gypsummount._common.streams import LossyStream
 from gypsummount._core.keys import KEY_PATTERN
 
 _REDACTED = "[key]"
@@ -44,7 +45,7 @@
 
 
 def configure_logs(
-    level: str, program: str, *, stream: TextIO | None = None
+    level: str, program: str, *, stream: TextIO | LossyStream | None = None
 ) -> None:
     """Write logs of this process as JSON lines, to standard error."""
     handler = logging.StreamHandler(stream or sys.stderr)
--- a/src/gypsummount/_edge/admission.py
+++ b/src/gypsummount/_edge/admission.py
@@ -34,6 +34,21 @@
 CERTAIN_AGE_S = 2.0
 
 
+@dataclass(slots=True, frozen=True)
+class Send:
+    """Where and how a request was sent.
+
+    ``position`` is the upstream's place in the object's order, ``load``
+    what ran there as far as known, ``waited_s`` the time before it.
+    """
+
+    upstream: str
+    region: str
+    position: int
+    load: float
+    waited_s: float
+
+
 @dataclass(slots=True)
 class Case:
     """A request under way with what was decided about it."""
@@ -41,6 +56,7 @@
     arrival: Arrival
     route: EdgeRoute
     workspace: EdgeWorkspace | None
+    started: float
     deadline: float
     need: Need
     old_need: Need
@@ -49,6 +65,7 @@
     has_token: bool = False
     sends: int = 0
     may_have_run: bool = False
+    last_send: Send | None = None
 
     @property
     def workspace_name(self) -> str | None:
@@ -82,7 +99,9 @@
         limit_s = min(patience_s - DEADLINE_MARGIN_S, route.timeout_s)
         began = started - self._patience.find_spent(route.name, patience_s)
         need = self._build_need(route, workspace, arrival, began)
-        case = Case(arrival, route, workspace, started + limit_s, need, need)
+        case = Case(
+            arrival, route, workspace, started, started + limit_s, need, need
+        )
         self._choose_version(case)
         return case
 
--- a/src/gypsummount/_edge/decisions.py
+++ b/src/gypsummount/_edge/decisions.py
@@ -3,39 +3,100 @@
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.logs import get_logger
 from gypsummount._common.metrics import Metrics
+from gypsummount._edge.admission import Case
 from gypsummount._edge.belief import Belief
 from gypsummount._edge.wire import Arrival
 from gypsummount.errors import RequestError
 
-LINES_PER_S = 10.0
-LARGEST_BURST = 20.0
+REFUSED_LINES_PER_S = 10.0
+LATE_LINES_PER_S = 10.0
+GOOD_LINES_PER_S = 2.0
+BURST_S = 2.0
+SERVER_ERROR = 500
 MS_PER_S = 1000
 
 _log = get_logger("decisions")
 
 
+class LineBudget:
+    """Lines of one sort, up to a rate; counts those left out."""
+
+    __slots__ = ("_filled_at", "_rate", "_tokens", "left_out")
+
+    def __init__(self, rate: float, now: float) -> None:
+        self._rate = rate
+        self._tokens = rate * BURST_S
+        self._filled_at = now
+        self.left_out = 0
+
+    def take(self, now: float) -> bool:
+        """Take a line, or count it as left out."""
+        gained = (now - self._filled_at) * self._rate
+        self._filled_at = now
+        self._tokens = min(self._rate * BURST_S, self._tokens + gained)
+        if self._tokens < 1:
+            self.left_out += 1
+            return False
+        self._tokens -= 1
+        return True
+
+
 class DecisionLog:
-    """Writes one line a refused or failed request, up to a rate.
+    """Writes one line a request, up to a rate for each sort.
 
-    Lines over the rate are counted and the count goes into the next
-    line, so that nothing is left out silently.
+    Refused and late requests have rates of their own, so that good ones
+    never take their lines.  What is left out is counted in the next
+    line of the same sort.
     """
 
     def __init__(self, belief: Belief, metrics: Metrics) -> None:
+        now = read_monotonic()
         self._belief = belief
         self._metrics = metrics
-        self._tokens = LARGEST_BURST
-        self._filled_at = read_monotonic()
-        self.left_out = 0
+        self._refused = LineBudget(REFUSED_LINES_PER_S, now)
+        self._late = LineBudget(LATE_LINES_PER_S, now)
+        self._good = LineBudget(GOOD_LINES_PER_S, now)
+
+    def note_answer(self, case: Case, status: int, held_s: float) -> None:
+        """Log where a request ran and how long that took."""
+        now = read_monotonic()
+        is_late = now > case.need.due
+        is_poor = is_late or status >= SERVER_ERROR
+        budget = self._late if is_poor else self._good
+        if not self._take(budget, now):
+            return
+        send = case.last_send
+        _log.info(
+            "Request %s was answered with %d%s.",
+            case.arrival.request_id,
+            status,
+            ", late" if is_late else "",
+            extra={
+                "request": case.arrival.request_id,
+                "path": case.arrival.path,
+                "workspace": case.workspace_name,
+                "service": case.need.service,
+                "upstream": send.upstream if send else None,
+                "region": send.region if send else None,
+                "position": send.position if send else None,
+                "load": round(send.load, 1) if send else None,
+                "waited_ms": _to_ms(send.waited_s) if send else None,
+                "held_ms": _to_ms(held_s),
+                "objective_ms": _to_ms(case.need.objective_s),
+                "sends": case.sends,
+                "configuration": self._belief.catalog_revision,
+                "left_out": budget.left_out,
+            },
+        )
 
     def note_refusal(
         self, arrival: Arrival | None, error: RequestError, held_s: float
     ) -> None:
         """Log why a request was not answered by an upstream."""
-        if not self._take_token():
-            self._leave_out()
+        now = read_monotonic()
+        if not self._take(self._refused, now):
             return
-        age_s = self._belief.proof.find_age(read_monotonic())
+        age_s = self._belief.proof.find_age(now)
         _log.info(
             "Request %s ended with %d.",
             arrival.request_id if arrival else "?",
@@ -46,35 +107,30 @@
                 "code": error.code,
                 "reason": str(error),
                 "outcome": error.outcome.value,
-                "held_ms": round(held_s * MS_PER_S, 1),
+                "held_ms": _to_ms(held_s),
                 "configuration": self._belief.catalog_revision,
                 "proof_age_s": None if age_s is None else round(age_s, 2),
-                "left_out": self.left_out,
+                "left_out": self._refused.left_out,
             },
         )
 
     def note_fault(self, arrival: Arrival | None) -> None:
         """Log the exception of a request that failed unexpectedly."""
         self._metrics.count("faults.internal")
-        if not self._take_token():
-            self._leave_out()
+        if not self._take(self._refused, read_monotonic()):
             return
         _log.exception(
             "Request %s failed unexpectedly.",
             arrival.request_id if arrival else "?",
-            extra={"left_out": self.left_out},
+            extra={"left_out": self._refused.left_out},
         )
 
-    def _leave_out(self) -> None:
-        self.left_out += 1
+    def _take(self, budget: LineBudget, now: float) -> bool:
+        if budget.take(now):
+            return True
         self._metrics.count("log_lines.left_out")
+        return False
 
-    def _take_token(self) -> bool:
-        now = read_monotonic()
-        gained = (now - self._filled_at) * LINES_PER_S
-        self._filled_at = now
-        self._tokens = min(LARGEST_BURST, self._tokens + gained)
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
+
+def _to_ms(span_s: float) -> float:
+    return round(span_s * MS_PER_S, 1)
--- a/src/gypsummount/_edge/front.py
+++ b/src/gypsummount/_edge/front.py
@@ -80,9 +80,11 @@
             self._write_error(request, error)
 
     def _note_answer(self, outcome: ProxyOutcome, latency_s: float) -> None:
+        case = outcome.case
         self._metrics.count(f"answers.{outcome.answer.status // 100}xx")
-        workspace = outcome.workspace or "open"
-        self._metrics.record(Series(workspace, outcome.route), latency_s)
+        workspace = case.workspace_name or "open"
+        self._metrics.record(Series(workspace, case.route.name), latency_s)
+        self._decisions.note_answer(case, outcome.answer.status, latency_s)
 
     def _write_answer(
         self, request: HTTPServerRequest, answer: UpstreamAnswer
--- a/src/gypsummount/_edge/proxy.py
+++ b/src/gypsummount/_edge/proxy.py
@@ -5,6 +5,7 @@
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._edge.admission import Admission
 from gypsummount._edge.admission import Case
+from gypsummount._edge.admission import Send
 from gypsummount._edge.backends import Backend
 from gypsummount._edge.belief import Belief
 from gypsummount._edge.repeats import Repeats
@@ -28,11 +29,10 @@
 
 @dataclass(slots=True, frozen=True)
 class ProxyOutcome:
-    """An upstream's answer and what it was given for."""
+    """An upstream's answer and the case that it was given for."""
 
     answer: UpstreamAnswer
-    route: str
-    workspace: str | None
+    case: Case
 
 
 class Proxy:
@@ -67,8 +67,7 @@
         try:
             await self._admission.admit(case)
             answer = await self._run_tries(case)
-            name = case.route.name
-            return ProxyOutcome(answer, name, case.workspace_name)
+            return ProxyOutcome(answer, case)
         finally:
             if case.canary is not None and not case.is_new:
                 case.canary.in_flight_old -= 1
@@ -127,6 +126,13 @@
             )
             is_sent = True
             case.sends += 1
+            case.last_send = Send(
+                backend.record.name,
+                backend.region,
+                pick.position,
+                pick.load,
+                now - case.started,
+            )
             answer = await backend.pool.send(
                 request, left_s, repeatable=case.route.repeatable
             )
--- a/src/gypsummount/platform/__main__.py
+++ b/src/gypsummount/platform/__main__.py
@@ -8,6 +8,7 @@
 from gypsummount._common.logs import get_logger
 from gypsummount._common.signals import on_reload
 from gypsummount._common.signals import on_stop
+from gypsummount._common.streams import LossyStream
 from gypsummount._common.tasks import start_task
 from gypsummount._edge.process import EdgeProcess
 from gypsummount.errors import SettingError
@@ -43,7 +44,7 @@
 
 def main() -> int:
     """Run the program and return its exit code."""
-    configure_logs("info", "edge", stream=sys.stdout)
+    configure_logs("info", "edge", stream=LossyStream(sys.stdout.fileno()))
     try:
         run(serve())
     except SettingError as error:
--- /dev/null
+++ b/tests/common/test_streams.py
@@ -0,0 +1,82 @@
+"""Logs to a reader that is slow, stopped or gone."""
+
+import fcntl
+from json import loads
+import os
+
+import pytest
+
+from gypsummount._common.streams import LossyStream
+
+PIPE_BYTES = 4096
+LINE = "x" * 100 + "\n"
+
+
+class Pipe:
+    """A small pipe and the stream that writes to it."""
+
+    def __init__(self):
+        self.reading, self.writing = os.pipe()
+        fcntl.fcntl(self.writing, fcntl.F_SETPIPE_SZ, PIPE_BYTES)
+        os.set_blocking(self.reading, False)
+        self.stream = LossyStream(self.writing)
+
+    def read(self):
+        """Return what has arrived; nothing if the pipe is empty."""
+        try:
+            return os.read(self.reading, 1 << 20).decode()
+        except BlockingIOError:
+            return ""
+
+    def close_reader(self):
+        os.close(self.reading)
+        self.reading = None
+
+    def close(self):
+        os.close(self.writing)
+        if self.reading is not None:
+            os.close(self.reading)
+
+
+@pytest.fixture
+def pipe():
+    made = Pipe()
+    yield made
+    made.close()
+
+
+class TestSlowReader:
+    def test_lines_are_lost_and_counted_when_the_pipe_is_full(self, pipe):
+        for _ in range(1000):
+            pipe.stream.write(LINE)
+        assert pipe.stream.lost >= 1000 - 2 * PIPE_BYTES / len(LINE)
+
+    def test_loss_is_told_when_the_reader_goes_on(self, pipe):
+        for _ in range(100):
+            pipe.stream.write(LINE)
+        lost = pipe.stream.lost
+        pipe.read()
+        pipe.stream.write("after\n")
+        lines = pipe.read().splitlines()
+        notices = [loads(one) for one in lines if one.startswith("{")]
+        assert [one["lost"] for one in notices] == [lost]
+        assert lines[-1] == "after"
+
+    def test_no_line_is_cut(self, pipe):
+        text = ""
+        for _ in range(20):
+            for _ in range(30):
+                pipe.stream.write(LINE)
+            text += pipe.read()
+        pipe.stream.flush()
+        text += pipe.read()
+        whole = [one for one in text.splitlines() if one.startswith("x")]
+        assert {len(one) for one in whole} == {len(LINE) - 1}
+
+
+class TestLostReader:
+    def test_reader_that_left_stops_nothing(self, pipe):
+        pipe.close_reader()
+        for _ in range(10):
+            pipe.stream.write(LINE)
+        assert pipe.stream.lost == 9
--- /dev/null
+++ b/tests/edge/test_decisions.py
@@ -0,0 +1,59 @@
+"""Lines about requests: late ones explained, volume bounded."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._common.metrics import Metrics
+from gypsummount._core.freshness import FreshnessProof
+from gypsummount._edge.admission import Send
+from gypsummount._edge.belief import Belief
+from gypsummount._edge.decisions import BURST_S
+from gypsummount._edge.decisions import DecisionLog
+from gypsummount._edge.decisions import GOOD_LINES_PER_S
+from gypsummount._edge.decisions import LATE_LINES_PER_S
+from tests.edge.test_front import create_case
+
+
+@pytest.fixture
+def log(caplog):
+    caplog.set_level("INFO")
+    return DecisionLog(Belief(None, FreshnessProof(4.0)), Metrics(None, ""))
+
+
+def build_case(*, due_s):
+    arrival = SimpleNamespace(request_id="id-1", path="/x/y")
+    case = create_case(arrival, read_monotonic(), due_s=due_s)
+    case.last_send = Send("i-7", "r2", 1, 3.0, 0.05)
+    case.sends = 1
+    return case
+
+
+class TestLateAnswers:
+    def test_line_tells_where_and_after_what_wait_it_ran(self, log, caplog):
+        log.note_answer(build_case(due_s=-0.1), 200, 0.4)
+        line = caplog.records[-1]
+        assert "late" in line.getMessage()
+        assert (line.request, line.upstream, line.position) == (
+            "id-1",
+            "i-7",
+            1,
+        )
+        assert (line.waited_ms, line.held_ms) == (50.0, 400.0)
+
+    def test_good_answers_take_no_lines_of_late_ones(self, log, caplog):
+        for _ in range(500):
+            log.note_answer(build_case(due_s=1.0), 200, 0.1)
+        assert len(caplog.records) <= GOOD_LINES_PER_S * BURST_S + 1
+        log.note_answer(build_case(due_s=-0.1), 200, 0.4)
+        assert "late" in caplog.records[-1].getMessage()
+
+    def test_volume_is_bounded_and_the_rest_is_counted(self, log, caplog):
+        for _ in range(500):
+            log.note_answer(build_case(due_s=-0.1), 200, 0.4)
+        written = len(caplog.records)
+        assert written <= LATE_LINES_PER_S * BURST_S + 5
+        assert log._metrics.read_counts()["log_lines.left_out"] == (
+            500 - written
+        )
--- a/tests/edge/test_front.py
+++ b/tests/edge/test_front.py
@@ -6,7 +6,10 @@
 from tornado.netutil import bind_sockets
 
 from gypsummount._common.metrics import Metrics
+from gypsummount._core.catalog import EdgeRoute
 from gypsummount._core.freshness import FreshnessProof
+from gypsummount._edge.admission import Case
+from gypsummount._edge.backends import Need
 from gypsummount._edge.belief import Belief
 from gypsummount._edge.decisions import DecisionLog
 from gypsummount._edge.front import EdgeFront
@@ -17,13 +20,20 @@
 from gypsummount.platform.wire import PlatformWire
 
 
+def create_case(arrival, started, *, due_s=1.0):
+    route = EdgeRoute("r", "h", "/", (), True, True, False, 2.0, due_s, 1, 0)
+    need = Need("s", frozenset(), frozenset(), 1, 1, started + due_s, due_s)
+    return Case(arrival, route, None, started, started + 2.0, need, need)
+
+
 class _Proxy:
     def __init__(self):
         self.runs = 0
 
     async def run(self, arrival, started):
         self.runs += 1
-        return ProxyOutcome(UpstreamAnswer(200, "OK", [], b"yes"), "r", None)
+        answer = UpstreamAnswer(200, "OK", [], b"yes")
+        return ProxyOutcome(answer, create_case(arrival, started))
 
 
 class Place:
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -60,7 +60,7 @@
     servers: dict = field(default_factory=dict)
     processes: dict = field(default_factory=dict)
 
-    def start(self, number):
+    def start(self, number, stdout=None):
         host = f"127.0.0.{number + 1}"
         path = self.folder / f"settings-{number}.json"
         zone = "z1" if number % 2 else "z2"
@@ -80,7 +80,7 @@
                 "GYPSUMMOUNT_BOOT": str(path),
                 "GYPSUMMOUNT_METRICS_PORT": str(self.ports.metrics),
             },
-            stdout=open(self.folder / f"log-{number}", "ab"),
+            stdout=stdout or open(self.folder / f"log-{number}", "ab"),
         )
         self.processes[number] = process
         self.stack.callback(self._end, process)
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -3,7 +3,10 @@
 from asyncio import create_task
 from asyncio import gather
 from asyncio import sleep
+from fcntl import F_SETPIPE_SZ
+from fcntl import fcntl
 from json import loads
+from os import pipe
 from signal import SIGHUP
 from signal import SIGTERM
 
@@ -223,3 +226,19 @@
         await sleep(0.5)
         assert (await instance.call(1, "GET", "/read/x")).status == 200
         assert "Settings stay as they were" in instance.read_log(1)
+
+
+class TestLogs:
+    async def test_full_pipe_costs_lines_and_no_request(self, deployment):
+        """Nobody reads standard output; 4 KB hold some eight lines."""
+        reading, writing = pipe()
+        fcntl(writing, F_SETPIPE_SZ, 4096)
+        with open(writing, "wb") as stdout, open(reading, "rb"):
+            deployment.start(1, stdout)
+            await deployment.wait_ready(1)
+            for _ in range(40):
+                answer = await deployment.call(1, "GET", "/read/x", key="bad")
+                assert answer.status == 401
+            answer = await deployment.call(1, "GET", "/read/x")
+            assert answer.status == 200
+            assert deployment.processes[1].poll() is None
