--- /dev/null
+++ b/benchmarks/relay.py
@@ -0,0 +1,42 @@
+"""A bare relay process: one upstream, kept connections, no decisions."""
+
+from asyncio import Event
+from asyncio import run
+import sys
+
+from gypsummount._common.sockets import bind_address
+from gypsummount._core.sanitizing import Header
+from gypsummount._entry.connections import ConnectionPool
+from gypsummount._entry.connections import UpstreamRequest
+from gypsummount._standin.http import Reply
+from gypsummount._standin.http import TinyServer
+
+LIMIT_S = 5.0
+ID_HEADER = "Gypsummount-Request-Id"
+
+
+async def main(listen: str, upstream: str, name: str) -> None:
+    pool = ConnectionPool(upstream)
+
+    async def relay(request):
+        request_id = request.headers[ID_HEADER]
+        headers = (Header("Gypsummount-Expected-Instance", name),)
+        answer = await pool.send(
+            UpstreamRequest(
+                "GET", request.uri, headers, b"", request_id, ID_HEADER
+            ),
+            LIMIT_S,
+            repeatable=True,
+        )
+        return Reply(answer.status, answer.body)
+
+    server = TinyServer(relay, bind_address("listen", listen))
+    try:
+        await Event().wait()
+    finally:
+        await server.close()
+        pool.close()
+
+
+if __name__ == "__main__":
+    run(main(*sys.argv[1:]))
--- /dev/null
+++ b/benchmarks/test_edge.py
@@ -0,0 +1,116 @@
+"""The edge's processor time and memory, against a bare relay."""
+
+from asyncio import gather
+from asyncio import sleep
+from dataclasses import dataclass
+import os
+from pathlib import Path
+import subprocess
+import sys
+
+from gypsummount._core.sanitizing import Header
+from gypsummount._entry.connections import ConnectionPool
+from gypsummount._entry.connections import UpstreamRequest
+from tests.platform.conftest import deployment  # noqa: F401
+from tests.platform.conftest import KEY
+
+# Issue 8: at most 3 times a bare relay; start under 0.5 s; under 64 MB.
+MOST_RATIO = 3.0
+MOST_START_S = 0.5
+MOST_RESIDENT_MB = 64
+CALLERS = 8
+REQUESTS = 250
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+@dataclass(slots=True)
+class Usage:
+    """Processor time (s) since the start and resident memory (MB)."""
+
+    processor_s: float
+    resident_mb: float
+
+
+def read_usage(pid):
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    resident = int(fields[21]) * os.sysconf("SC_PAGE_SIZE")
+    return Usage(ticks / TICKS_PER_S, resident / 1_000_000)
+
+
+async def send_many(address):
+    """Send requests over kept connections, one caller each."""
+
+    async def call(caller):
+        pool = ConnectionPool(address)
+        for number in range(REQUESTS):
+            request = UpstreamRequest(
+                "GET",
+                "/read/x",
+                (
+                    Header("Gypsummount-Deadline-Milliseconds", "5000"),
+                    Header("Cookie", f"Gypsummount-Affinity-Key={caller}"),
+                    Header("Api-Key", KEY),
+                ),
+                b"",
+                f"id-{caller}-{number}",
+                "Gypsummount-Request-Id",
+                "h.example",
+            )
+            answer = await pool.send(request, 5.0, repeatable=True)
+            assert answer.status == 200
+        pool.close()
+
+    await gather(*(call(number) for number in range(CALLERS)))
+
+
+async def measure(pid, address):
+    """Return the processor time (ms) of one request at a process."""
+    await send_many(address)
+    before = read_usage(pid)
+    await send_many(address)
+    spent_s = read_usage(pid).processor_s - before.processor_s
+    return spent_s * 1000 / (CALLERS * REQUESTS)
+
+
+class TestEdge:
+    async def test_processor_time_and_memory(self, deployment):  # noqa: F811
+        quota = {"requestsPerS": 0, "burst": 0}
+        config = deployment.store.objects["config"]["main"]["specification"]
+        config["tenants"][0].update(quota)
+        for name in ("i-1", "i-2"):
+            entry = deployment.store.objects["servers"][name]
+            entry["specification"]["slots"] = 64
+        deployment.start(1)
+        await deployment.wait_ready(1)
+        pid = deployment.processes[1].pid
+        start = read_usage(pid)
+        host = f"127.0.0.2:{deployment.ports.front}"
+        own_ms = await measure(pid, host)
+        resident_mb = read_usage(pid).resident_mb
+        entry = deployment.store.objects["servers"]["i-1"]["specification"]
+        listen = f"127.0.0.3:{deployment.ports.front}"
+        relay = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "benchmarks.relay",
+                listen,
+                entry["address"],
+                "i-1",
+            ]
+        )
+        try:
+            await sleep(1.5)
+            bare_ms = await measure(relay.pid, listen)
+        finally:
+            relay.kill()
+            relay.wait()
+        print(
+            f"edge {own_ms:.2f} ms a request, relay {bare_ms:.2f} ms, ratio "
+            f"{own_ms / bare_ms:.2f}; start {start.processor_s:.2f} s, "
+            f"resident {resident_mb:.1f} MB"
+        )
+        assert own_ms <= MOST_RATIO * bare_ms
+        assert start.processor_s <= MOST_START_S
+        assert resident_mb <= MOST_RESIDENT_MB
