--- a/src/gypsummount/_edge/copies.py
+++ b/src/gypsummount/_edge/copies.py
@@ -151,7 +151,14 @@
             int(raw["catalog_revision"]),
             None if age_s is None else float(age_s),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except (
+        ValueError,
+        KeyError,
+        TypeError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         raise RecordInvalid(
             f"a copy cannot be read ({error!r}); look who listens on the "
             "peer port"
--- a/src/gypsummount/_edge/digests.py
+++ b/src/gypsummount/_edge/digests.py
@@ -141,6 +141,8 @@
         KeyError,
         TypeError,
         AttributeError,
+        OverflowError,
+        RecursionError,
     ) as error:
         raise RecordInvalid(
             f"a datagram is no digest ({error!r}); look who sends to the "
--- a/src/gypsummount/_edge/mirror.py
+++ b/src/gypsummount/_edge/mirror.py
@@ -105,8 +105,15 @@
                 _log.info("History of %s is gone; listing.", kind.value)
             except StoreError as error:
                 self.contact.note_failure(error)
-                await sleep(pause_s * (0.5 + self._random.random()))
-                pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
+                pause_s = await self._pause(pause_s)
+            except Exception:
+                _log.exception("Following of %s failed.", kind.value)
+                pause_s = await self._pause(pause_s)
+
+    async def _pause(self, pause_s: float) -> float:
+        """Wait about a pause (s); return the next one."""
+        await sleep(pause_s * (0.5 + self._random.random()))
+        return min(LONGEST_PAUSE_S, pause_s * 2)
 
     async def prove(self, rank: int) -> None:
         """Read the catalog if nobody has lately proved it the newest.
--- a/src/gypsummount/platform/documents.py
+++ b/src/gypsummount/platform/documents.py
@@ -1,6 +1,7 @@
 """Decoding of the store's documents into the product's types."""
 
 from json import loads
+from math import isfinite
 from typing import Any
 
 from gypsummount._core.catalog import CallerLimits
@@ -21,6 +22,15 @@
 DEFAULT_TIMEOUT_S = 30.0
 DEFAULT_ATTEMPTS = 1
 STATES = ("ready", "draining")
+# What a document of another shape, size or depth leads to.
+UNREADABLE = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
 
 def decode_record(record: Record) -> Value:
@@ -40,7 +50,7 @@
         if record.kind is Kind.INSTANCE:
             return InstanceRecord(record.name, _read_text(body, "host"))
         return None
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except UNREADABLE as error:
         raise RecordInvalid(
             f"it is incomplete or of another shape ({error!r}); look who "
             "writes it"
@@ -124,6 +134,8 @@
     cold_s = body["coldRemainingS"]
     if isinstance(cold_s, bool) or not isinstance(cold_s, (int, float)):
         raise ValueError("coldRemainingS")
+    if not isfinite(cold_s):
+        raise ValueError("coldRemainingS is not finite")
     born = body.get("born", 0)
     if isinstance(born, bool) or not isinstance(born, int):
         raise ValueError("born")
--- a/src/gypsummount/platform/store.py
+++ b/src/gypsummount/platform/store.py
@@ -143,7 +143,7 @@
         )
     try:
         return loads(answer.body)
-    except ValueError:
+    except (ValueError, RecursionError):
         raise StoreUnavailable(
             "the store's answer cannot be read; look at its state"
         ) from None
--- /dev/null
+++ b/tests/edge/test_mirror.py
@@ -0,0 +1,48 @@
+"""Answers of the store that nobody foresaw: following goes on."""
+
+from asyncio import create_task
+from asyncio import Event
+from asyncio import wait_for
+from random import Random
+
+import pytest
+
+from gypsummount._core.freshness import FreshnessProof
+from gypsummount._edge.belief import Belief
+from gypsummount._edge.feed import Kind
+from gypsummount._edge.feed import Listing
+from gypsummount._edge.mirror import Mirror
+from gypsummount.errors import StoreUnavailable
+
+
+class FaultyFeed:
+    """Fails its first lists in given ways, then answers."""
+
+    def __init__(self, *faults):
+        self._faults = list(faults)
+        self.watched = Event()
+
+    async def list(self, kind):
+        if self._faults:
+            raise self._faults.pop()
+        return Listing((), 5)
+
+    async def watch(self, kind, revision, wait_s):
+        self.watched.set()
+        await Event().wait()
+
+
+class TestFollowing:
+    @pytest.mark.parametrize(
+        "fault", [TypeError("x"), KeyError("at"), StoreUnavailable("x")]
+    )
+    async def test_it_goes_on_after_any_fault(self, fault):
+        feed = FaultyFeed(fault, fault)
+        belief = Belief(feed, FreshnessProof(4.0))
+        mirror = Mirror(feed, belief, Random(1))
+        task = create_task(mirror.follow(Kind.UPSTREAM))
+        try:
+            await wait_for(feed.watched.wait(), 5.0)
+        finally:
+            task.cancel()
+        assert belief.is_known(Kind.UPSTREAM)
--- /dev/null
+++ b/tests/platform/test_decoders.py
@@ -0,0 +1,156 @@
+"""Any bytes at the edge's decoders: a value or a typed error."""
+
+from json import dumps
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from gypsummount._core.sanitizing import Header
+from gypsummount._edge.copies import decode_copy
+from gypsummount._edge.digests import decode_digest
+from gypsummount._edge.digests import ECHO_FORMAT
+from gypsummount._edge.feed import Kind
+from gypsummount._edge.feed import Record
+from gypsummount._entry.connections import UpstreamAnswer
+from gypsummount.errors import RecordInvalid
+from gypsummount.platform.documents import decode_record
+from gypsummount.platform.wire import PlatformWire
+from tests.platform.standin import build_config
+from tests.platform.standin import build_entry
+
+EXAMPLES = 300
+SCALARS = (
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=8)
+)
+VALUES = st.recursive(
+    SCALARS,
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+ORDER = {"service": "s", "targetVersion": "v2", "durationS": 16.0}
+WHOLE = {
+    Kind.CATALOG: build_config(3, ["key"]),
+    Kind.UPSTREAM: build_entry("10.0.0.1:80"),
+    Kind.ROLLOUT: ORDER,
+    Kind.EVACUATION: {},
+    Kind.INSTANCE: {"host": "10.0.0.1"},
+}
+
+
+def list_paths(value, path=()):
+    """Return the path of every part of a document."""
+    paths = [path]
+    pairs = []
+    if isinstance(value, dict):
+        pairs = value.items()
+    elif isinstance(value, list):
+        pairs = enumerate(value)
+    for name, inner in pairs:
+        paths.extend(list_paths(inner, (*path, name)))
+    return paths
+
+
+def replace_part(value, path, made):
+    if not path:
+        return made
+    copied = value.copy()
+    copied[path[0]] = replace_part(value[path[0]], path[1:], made)
+    return copied
+
+
+@st.composite
+def draw_forged(draw, kind):
+    """A whole document with one part replaced by anything."""
+    whole = {
+        "metadata": {"name": "n", "revision": 7, "created": 5},
+        "specification": WHOLE[kind],
+        "status": {"state": "running", "targetVersion": "v2"},
+    }
+    path = draw(st.sampled_from(list_paths(whole)))
+    return replace_part(whole, path, draw(VALUES))
+
+
+def decode(kind, payload):
+    try:
+        return decode_record(Record(kind, "n", 7, payload))
+    except RecordInvalid as error:
+        assert "look" in str(error)
+        return None
+
+
+class TestDocuments:
+    @pytest.mark.parametrize("kind", list(Kind))
+    @settings(max_examples=EXAMPLES, deadline=None)
+    @given(data=st.data())
+    def test_forged_part_gives_a_value_or_a_typed_error(self, kind, data):
+        decode(kind, dumps(data.draw(draw_forged(kind))).encode())
+
+    @pytest.mark.parametrize("kind", list(Kind))
+    @settings(max_examples=EXAMPLES, deadline=None)
+    @given(payload=st.binary(max_size=60))
+    def test_any_bytes_give_a_value_or_a_typed_error(self, kind, payload):
+        decode(kind, payload)
+
+
+class TestForgedNumbersAndDepth:
+    """Cases that stopped the following of a kind before."""
+
+    @pytest.mark.parametrize("path", [("version",), ("limits", "bodyBytes")])
+    def test_infinite_number_in_a_configuration(self, path):
+        body = replace_part(WHOLE[Kind.CATALOG], path, float("inf"))
+        payload = dumps({"metadata": {}, "specification": body}).encode()
+        assert decode(Kind.CATALOG, payload) is None
+
+    def test_infinite_time_of_an_order(self):
+        metadata = {"created": float("inf")}
+        payload = dumps({"metadata": metadata, "specification": ORDER})
+        assert decode(Kind.ROLLOUT, payload.encode()) is None
+
+    def test_upstream_that_is_cold_for_ever(self):
+        body = {**WHOLE[Kind.UPSTREAM], "coldRemainingS": float("inf")}
+        payload = dumps({"specification": body}).encode()
+        assert decode(Kind.UPSTREAM, payload) is None
+
+    @pytest.mark.parametrize("kind", list(Kind))
+    def test_document_of_great_depth(self, kind):
+        assert decode(kind, b"[" * 100_000) is None
+
+
+class TestPeers:
+    @settings(max_examples=EXAMPLES, deadline=None)
+    @given(
+        body=st.binary(max_size=80) | VALUES.map(lambda v: dumps(v).encode())
+    )
+    def test_copies(self, body):
+        try:
+            decode_copy(body)
+        except RecordInvalid:
+            return
+
+    @settings(max_examples=EXAMPLES, deadline=None)
+    @given(body=st.binary(max_size=120))
+    def test_digests(self, body):
+        with pytest.raises(RecordInvalid):
+            decode_digest(bytes(ECHO_FORMAT.size) + body)
+
+
+class TestAnswers:
+    @settings(max_examples=EXAMPLES, deadline=None)
+    @given(text=st.text(max_size=20))
+    def test_load_of_any_text_is_read_or_left_out(self, text):
+        headers = [Header("Gypsummount-Server-Load", text)]
+        verdict = PlatformWire().read_verdict(
+            UpstreamAnswer(200, "OK", headers, b"")
+        )
+        assert verdict.ran
+        if verdict.load is not None:
+            assert verdict.load.running >= 0
