--- a/src/gypsummount/_edge/copies.py
+++ b/src/gypsummount/_edge/copies.py
@@ -4,6 +4,7 @@
 from json import dumps
 from json import loads
 
+from gypsummount._common.decoding import DECODING_ERRORS
 from gypsummount._edge.belief import Belief
 from gypsummount._edge.belief import RecordName
 from gypsummount._edge.belief import REQUIRED
@@ -151,14 +152,7 @@
             int(raw["catalog_revision"]),
             None if age_s is None else float(age_s),
         )
-    except (
-        ValueError,
-        KeyError,
-        TypeError,
-        AttributeError,
-        OverflowError,
-        RecursionError,
-    ) as error:
+    except DECODING_ERRORS as error:
         raise RecordInvalid(
             f"a copy cannot be read ({error!r}); look who listens on the "
             "peer port"
--- a/src/gypsummount/_edge/digests.py
+++ b/src/gypsummount/_edge/digests.py
@@ -11,6 +11,7 @@
 from zlib import decompressobj
 from zlib import error as ZlibError
 
+from gypsummount._common.decoding import DECODING_ERRORS
 from gypsummount._core.judgement import Evidence
 from gypsummount._core.quotas import QuotaDemand
 from gypsummount.errors import RecordInvalid
@@ -134,16 +135,7 @@
         raw["rollouts"] = tuple(_decode_news(one) for one in raw["rollouts"])
         raw["known"] = tuple(Acquaintance(*one) for one in raw["known"])
         return Digest(echo=echo, **raw)
-    except (
-        StructError,
-        ZlibError,
-        ValueError,
-        KeyError,
-        TypeError,
-        AttributeError,
-        OverflowError,
-        RecursionError,
-    ) as error:
+    except (StructError, ZlibError, *DECODING_ERRORS) as error:
         raise RecordInvalid(
             f"a datagram is no digest ({error!r}); look who sends to the "
             "gossip port"
--- a/src/gypsummount/_edge/following.py
+++ b/src/gypsummount/_edge/following.py
@@ -167,6 +167,7 @@
         now = read_monotonic()
         ahead = self._find_ahead()
         if ahead is None:
+            self._lags.clear()
             return
         lag, digest = ahead
         since = self._lags.setdefault(lag, now)
--- a/src/gypsummount/platform/documents.py
+++ b/src/gypsummount/platform/documents.py
@@ -4,6 +4,7 @@
 from math import isfinite
 from typing import Any
 
+from gypsummount._common.decoding import DECODING_ERRORS
 from gypsummount._core.catalog import CallerLimits
 from gypsummount._core.catalog import Catalog
 from gypsummount._core.catalog import Destination
@@ -22,15 +23,6 @@
 DEFAULT_TIMEOUT_S = 30.0
 DEFAULT_ATTEMPTS = 1
 STATES = ("ready", "draining")
-# What a document of another shape, size or depth leads to.
-UNREADABLE = (
-    ValueError,
-    KeyError,
-    TypeError,
-    AttributeError,
-    OverflowError,
-    RecursionError,
-)
 
 
 def decode_record(record: Record) -> Value:
@@ -50,7 +42,7 @@
         if record.kind is Kind.INSTANCE:
             return InstanceRecord(record.name, _read_text(body, "host"))
         return None
-    except UNREADABLE as error:
+    except DECODING_ERRORS as error:
         raise RecordInvalid(
             f"it is incomplete or of another shape ({error!r}); look who "
             "writes it"
