--- a/src/gypsummount/_core/backlog.py
+++ b/src/gypsummount/_core/backlog.py
@@ -1,7 +1,10 @@
 """Load, health and pace of one upstream as an edge instance sees it."""
 
+from collections import deque
 from collections import OrderedDict
+from enum import Enum
 
+from gypsummount._common.logs import get_logger
 from gypsummount._core.catalog import UpstreamRecord
 from gypsummount._core.placement import hash_name
 
@@ -22,6 +25,16 @@
 PACE_WINDOW_S = 1.0
 RETURN_COLD_S = 1.0
 
+_log = get_logger("backlog")
+
+
+class ColdSign(Enum):
+    """What tells that an upstream is cold."""
+
+    ENTRY = "entry"
+    EVACUATION = "evacuation"
+    UNREACHABLE = "unreachable"
+
 
 class ServiceWork:
     """How long the upstreams of a service work, by their place.
@@ -73,6 +86,7 @@
         "_faults",
         "_known",
         "_others",
+        "_recent",
         "_reported_at",
         "_sent",
         "_shut_until",
@@ -84,10 +98,10 @@
         "seed",
     )
 
-    def __init__(self, record: UpstreamRecord, cold_until: float) -> None:
+    def __init__(self, record: UpstreamRecord) -> None:
         self.record = record
         self.seed = hash_name(record.name)
-        self.cold_until = cold_until
+        self.cold_until = 0.0
         self.in_flight = 0
         self.latency_s = 0.0
         self.error_rate = 0.0
@@ -99,6 +113,7 @@
         self._ejected_until = 0.0
         self._shut_until = 0.0
         self._sent: list[float] = []
+        self._recent: deque[float] = deque()
 
     def estimate(self, now: float) -> float:
         """Return the requests at the upstream, all instances."""
@@ -131,9 +146,30 @@
     def note_start(self, now: float) -> None:
         """Record that a request is sent."""
         self.in_flight += 1
+        self._recent.append(now)
+        self._forget_sends(now)
         if now < self.cold_until:
             self._sent.append(now)
 
+    def _forget_sends(self, now: float) -> None:
+        while self._recent and self._recent[0] <= now - PACE_WINDOW_S:
+            self._recent.popleft()
+
+    def note_cold(self, now: float, until: float, sign: ColdSign) -> None:
+        """Record that the upstream is cold until a moment, at least."""
+        if not self.is_cold(now):
+            self._forget_sends(now)
+            _log.info(
+                "Upstream %s is cold.",
+                self.record.name,
+                extra={
+                    "sign": sign.value,
+                    "for_s": round(until - now, 2),
+                    "sent_last_second": len(self._recent),
+                },
+            )
+        self.cold_until = max(self.cold_until, until)
+
     def note_end(self) -> None:
         """Record that an exchange is over, however it ended."""
         self.in_flight -= 1
@@ -181,6 +217,5 @@
         """
         self.note_fault(now)
         self._ejected_until = max(self._ejected_until, now + FIRST_EJECTION_S)
-        self.cold_until = max(
-            self.cold_until, self._ejected_until + cold_s + RETURN_COLD_S
-        )
+        until = self._ejected_until + cold_s + RETURN_COLD_S
+        self.note_cold(now, until, ColdSign.UNREACHABLE)
--- a/src/gypsummount/_edge/backends.py
+++ b/src/gypsummount/_edge/backends.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from gypsummount._common.logs import get_logger
+from gypsummount._core.backlog import ColdSign
 from gypsummount._core.backlog import UpstreamLoad
 from gypsummount._core.catalog import UpstreamRecord
 from gypsummount._edge.belief import Belief
@@ -95,8 +96,9 @@
             self._mark(backend, now)
 
     def _add(self, record: UpstreamRecord, now: float) -> None:
-        cold_s = record.cold_s
-        load = UpstreamLoad(record, now + cold_s if cold_s > 0 else 0.0)
+        load = UpstreamLoad(record)
+        if record.cold_s > 0:
+            load.note_cold(now, now + record.cold_s, ColdSign.ENTRY)
         region = self._regions.get(record.domain, "")
         fresh_s = NEAR_FRESH_S if region == self._region else FAR_FRESH_S
         pool = ConnectionPool(record.address, self._suspicion, fresh_s)
@@ -107,7 +109,7 @@
     ) -> None:
         if record.cold_s > 0 and record != backend.record:
             until = now + record.cold_s
-            backend.load.cold_until = max(backend.load.cold_until, until)
+            backend.load.note_cold(now, until, ColdSign.ENTRY)
         backend.load.record = record
 
     def _retire(self, name: str) -> None:
@@ -127,7 +129,8 @@
             catalog = self._belief.catalog
             service = catalog.services.get(record.service) if catalog else None
             cold_s = service.cold_s if service is not None else 0.0
-            backend.load.cold_until = now + cold_s
+            backend.load.cold_until = now
+            backend.load.note_cold(now, now + cold_s, ColdSign.EVACUATION)
         if was_usable != backend.is_usable:
             _log.info(
                 "Upstream %s of %s is %s.",
--- a/src/gypsummount/_edge/belief.py
+++ b/src/gypsummount/_edge/belief.py
@@ -13,6 +13,7 @@
 from gypsummount._edge.feed import InstanceRecord
 from gypsummount._edge.feed import Kind
 from gypsummount._edge.feed import Listing
+from gypsummount._edge.feed import Origin
 from gypsummount._edge.feed import Record
 from gypsummount.errors import RecordInvalid
 
@@ -114,7 +115,7 @@
             if name not in names:
                 self._remove(kind, name, listing.revision, now)
         for record in listing.records:
-            self._put(record)
+            self._put(record, listing.origin)
         self.revisions[kind] = listing.revision
 
     def take_changes(self, kind: Kind, listing: Listing, now: float) -> None:
@@ -123,7 +124,7 @@
             if record.is_deleted:
                 self._remove(kind, record.name, record.revision, now)
             else:
-                self._put(record)
+                self._put(record, listing.origin)
         known = self.revisions.get(kind, 0)
         self.revisions[kind] = max(known, listing.revision)
 
@@ -141,7 +142,7 @@
             del self._held[name]
             self._drop(Kind.UPSTREAM, name)
 
-    def _put(self, record: Record) -> None:
+    def _put(self, record: Record, origin: Origin) -> None:
         known = self._records[record.kind].get(record.name)
         if known is not None and known.revision >= record.revision:
             if record.name in self._held:
@@ -160,14 +161,22 @@
             if record.kind is Kind.UPSTREAM:
                 self._forget(record.kind, record.name)
             return
-        self._apply(record, value)
+        self._apply(record, value, origin)
         self.changes += 1
 
-    def _apply(self, record: Record, value: object) -> None:
+    def _apply(self, record: Record, value: object, origin: Origin) -> None:
         if isinstance(value, Catalog):
             self.catalog = value
             self.catalog_revision = record.revision
-            _log.info("Configuration %s is in force.", value.version)
+            _log.info(
+                "Configuration %s is in force.",
+                value.version,
+                extra={
+                    "object": record.name,
+                    "revision": record.revision,
+                    "origin": origin.value,
+                },
+            )
         elif isinstance(value, UpstreamRecord):
             self.upstreams[record.name] = value
         elif isinstance(value, RolloutOrder):
--- a/src/gypsummount/_edge/copies.py
+++ b/src/gypsummount/_edge/copies.py
@@ -10,6 +10,7 @@
 from gypsummount._edge.belief import REQUIRED
 from gypsummount._edge.feed import Kind
 from gypsummount._edge.feed import Listing
+from gypsummount._edge.feed import Origin
 from gypsummount._edge.feed import Record
 from gypsummount.errors import RecordInvalid
 
@@ -165,7 +166,7 @@
         Record(kind, name, int(revision), payload.encode(), bool(is_deleted))
         for name, revision, payload, is_deleted in raw["records"]
     )
-    listing = Listing(records, int(raw["revision"]))
+    listing = Listing(records, int(raw["revision"]), Origin.COPY)
     return CopiedKind(
         kind, listing, int(raw["changed"]), bool(raw["is_whole"])
     )
--- a/src/gypsummount/_edge/feed.py
+++ b/src/gypsummount/_edge/feed.py
@@ -42,12 +42,21 @@
     is_deleted: bool = False
 
 
+class Origin(Enum):
+    """By which way records came."""
+
+    LIST = "list"
+    WATCH = "watch"
+    COPY = "copy"
+
+
 @dataclass(slots=True, frozen=True)
 class Listing:
     """Records of a kind and the store's revision they stand for."""
 
     records: tuple[Record, ...]
     revision: int
+    origin: Origin = Origin.LIST
 
 
 class Feed(ABC):
--- a/src/gypsummount/_edge/following.py
+++ b/src/gypsummount/_edge/following.py
@@ -175,6 +175,16 @@
         if not is_lost and now - since < LAG_S:
             return
         self._lags.clear()
+        _log.info(
+            "Peer %s is ahead in %s.",
+            digest.name,
+            lag.kind.value,
+            extra={
+                "revision": lag.revision,
+                "known": self._belief.changed.get(lag.kind, 0),
+                "behind_s": round(now - since, 2),
+            },
+        )
         await self._pull(digest)
 
     def _find_ahead(self) -> tuple[_Lag, Digest] | None:
--- a/src/gypsummount/_edge/selection.py
+++ b/src/gypsummount/_edge/selection.py
@@ -10,6 +10,7 @@
 from random import random
 
 from gypsummount._common.clocks import read_monotonic
+from gypsummount._common.logs import get_logger
 from gypsummount._core.backlog import ServiceWork
 from gypsummount._core.placement import add_expected
 from gypsummount._core.placement import mix_hashes
@@ -33,6 +34,8 @@
 RETRY_SPREAD_S = 0.3
 MAX_RANKS = 20_000
 
+_log = get_logger("selection")
+
 
 @dataclass(slots=True, frozen=True)
 class Pick:
@@ -108,6 +111,11 @@
     ) -> None:
         """Take peers' demand by region and service, and who paces."""
         self._peer_demand = demand
+        if warming != self._warming:
+            _log.info(
+                "Other instances warm upstreams.",
+                extra={"instances": warming.by_region},
+            )
         self._warming = warming
 
     def update(self) -> None:
--- a/src/gypsummount/platform/store.py
+++ b/src/gypsummount/platform/store.py
@@ -12,6 +12,7 @@
 from gypsummount._edge.feed import InstanceRecord
 from gypsummount._edge.feed import Kind
 from gypsummount._edge.feed import Listing
+from gypsummount._edge.feed import Origin
 from gypsummount._edge.feed import Record
 from gypsummount._edge.feed import Value
 from gypsummount._entry.connections import ConnectionPool
@@ -74,7 +75,7 @@
             for event in raw.get("events") or ()
         ]
         kept = tuple(one for one in records if one is not None)
-        return Listing(kept, int(raw["at"]))
+        return Listing(kept, int(raw["at"]), Origin.WATCH)
 
     async def write_rollout_state(
         self, order: RolloutOrder, state: str
