--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -50,6 +50,8 @@
 PLAN_S = 0.1
 DRIVE_S = 0.3
 PROVE_S = 0.2
+# A step that comes this much (s) after its time is logged.
+LATE_STEP_S = 0.3
 REGISTER_S = 1.0
 START_SHARE = 0.1
 LEAVE_SERVE_S = 3.5
@@ -71,6 +73,7 @@
         random = Random(self._incarnation)
         limit_s = settings.bounds.proof_limit_s
         self.metrics = Metrics(None, "")
+        self._planned_at = read_monotonic()
         self.belief = Belief(feed, FreshnessProof(limit_s))
         self.peers = Peers(settings.region)
         self._selection = Selection(
@@ -225,12 +228,24 @@
 
     async def _plan(self) -> None:
         now = read_monotonic()
+        self._note_lateness(now)
         self.belief.expire_held(now)
         self._follow_fleet(now)
         self._selection.update()
         self._repeats.follow_fleet(len(self.peers.list_known()) + 1)
         self._following.follow_fleet(self.peers.list_live(now))
         await self._following.catch_up()
+        self._planned_at = read_monotonic()
+
+    def _note_lateness(self, now: float) -> None:
+        """Log a wait that came of a busy or suspended process."""
+        late_s = now - self._planned_at - PLAN_S
+        if late_s > LATE_STEP_S:
+            _log.warning(
+                "The process was late by %.2f s.",
+                late_s,
+                extra={"in_flight": self.front.in_flight},
+            )
 
     async def _drive(self) -> None:
         live = self.peers.list_live(read_monotonic())
--- /dev/null
+++ b/tests/model/clock.py
@@ -0,0 +1,84 @@
+"""An event loop in virtual time, on which machines freeze and die."""
+
+from asyncio import all_tasks
+from asyncio import gather
+from asyncio import SelectorEventLoop
+from contextvars import ContextVar
+from contextvars import copy_context
+from selectors import SelectSelector
+
+START_S = 1000.0
+# Callbacks of a frozen machine keep their order when it wakes.
+ORDER_STEP_S = 1e-7
+
+# The incarnation of a machine in whose name a callback runs.
+INCARNATION = ContextVar("incarnation", default=None)
+
+
+class _JumpingSelector(SelectSelector):
+    """Lets the clock jump to the next timer in place of waiting."""
+
+    loop = None
+
+    def select(self, timeout=None):
+        if timeout is None:
+            raise RuntimeError("nothing is left to happen in the model")
+        self.loop.now += max(0.0, timeout)
+        return []
+
+
+class VirtualLoop(SelectorEventLoop):
+    """A loop whose time passes only between callbacks."""
+
+    def __init__(self):
+        selector = _JumpingSelector()
+        super().__init__(selector)
+        self.now = START_S
+        self._deferred = 0
+        self._dropped = []
+        self._is_ending = False
+        selector.loop = self
+
+    def time(self):
+        return self.now
+
+    def call_soon(self, callback, *args, context=None):
+        context = context or copy_context()
+        return super().call_soon(
+            self._run, context, callback, args, context=context
+        )
+
+    def call_at(self, when, callback, *args, context=None):
+        context = context or copy_context()
+        return super().call_at(
+            when, self._run, context, callback, args, context=context
+        )
+
+    def _run(self, context, callback, args):
+        owner = context.get(INCARNATION)
+        if owner is None or self._is_ending:
+            callback(*args)
+        elif not owner.is_alive:
+            self._dropped.append((callback, args, context))
+        elif owner.frozen_until <= self.now:
+            callback(*args)
+        else:
+            self._defer(owner, context, callback, args)
+
+    def _defer(self, owner, context, callback, args):
+        self._deferred += 1
+        when = owner.frozen_until + self._deferred * ORDER_STEP_S
+        super().call_at(
+            when, self._run, context, callback, args, context=context
+        )
+
+    def end(self):
+        """Cancel what is left, also on machines that died."""
+        self._is_ending = True
+        for callback, args, context in self._dropped:
+            self.call_soon(callback, *args, context=context)
+        tasks = all_tasks(self)
+        for task in tasks:
+            task.cancel()
+        self.run_until_complete(gather(*tasks, return_exceptions=True))
+        self.close()
