Count what was sent before the news of a cold start for the pace

What callers saw: a cold upstream was flooded, and its answers failed. Cause: a pace counted only sends after the upstream was known to be cold, and a new start under the same name forgot them all. So the second in which the news arrived held the usual rate up to it and a whole pace after it, on every instance. Change: every send of the last second counts, also across a new start. Why it works: what an instance sends in any second is its usual rate until the news, or its pace, whichever is more, and no longer their sum. Test: edge/test_selection.py, TestColdUpstreams; failed before (2 of 2 cases).

--- a/src/gypsummount/_core/backlog.py
+++ b/src/gypsummount/_core/backlog.py
@@ -86,7 +86,6 @@
         "_faults",
         "_known",
         "_others",
-        "_recent",
         "_reported_at",
         "_sent",
         "_shut_until",
@@ -112,8 +111,7 @@
         self._ejections = 0
         self._ejected_until = 0.0
         self._shut_until = 0.0
-        self._sent: list[float] = []
-        self._recent: deque[float] = deque()
+        self._sent: deque[float] = deque()
 
     def estimate(self, now: float) -> float:
         """Return the requests at the upstream, all instances."""
@@ -139,21 +137,26 @@
         """Tell whether a cold upstream may get one more this second."""
         if not self.is_cold(now):
             return True
-        while self._sent and self._sent[0] <= now - PACE_WINDOW_S:
-            self._sent.pop(0)
+        self._forget_sends(now)
         return len(self._sent) + 1 <= cold_limit
 
+    def take_over_sends(self, before: "UpstreamLoad") -> None:
+        """Count what an earlier start of the upstream was sent."""
+        self._sent = before._sent
+
     def note_start(self, now: float) -> None:
-        """Record that a request is sent."""
+        """Record that a request is sent.
+
+        Sends count for the pace also before the upstream is known to be
+        cold: the news may come after its start.
+        """
         self.in_flight += 1
-        self._recent.append(now)
+        self._sent.append(now)
         self._forget_sends(now)
-        if now < self.cold_until:
-            self._sent.append(now)
 
     def _forget_sends(self, now: float) -> None:
-        while self._recent and self._recent[0] <= now - PACE_WINDOW_S:
-            self._recent.popleft()
+        while self._sent and self._sent[0] <= now - PACE_WINDOW_S:
+            self._sent.popleft()
 
     def note_cold(self, now: float, until: float, sign: ColdSign) -> None:
         """Record that the upstream is cold until a moment, at least."""
@@ -165,7 +168,7 @@
                 extra={
                     "sign": sign.value,
                     "for_s": round(until - now, 2),
-                    "sent_last_second": len(self._recent),
+                    "sent_last_second": len(self._sent),
                 },
             )
         self.cold_until = max(self.cold_until, until)
--- a/src/gypsummount/_edge/backends.py
+++ b/src/gypsummount/_edge/backends.py
@@ -91,18 +91,22 @@
                 continue
             if known is not None:
                 self._retire(name)
-            self._add(record, now)
+            made = self._add(record, now)
+            if known is not None:
+                made.load.take_over_sends(known.load)
         for backend in self._by_name.values():
             self._mark(backend, now)
 
-    def _add(self, record: UpstreamRecord, now: float) -> None:
+    def _add(self, record: UpstreamRecord, now: float) -> Backend:
         load = UpstreamLoad(record)
         if record.cold_s > 0:
             load.note_cold(now, now + record.cold_s, ColdSign.ENTRY)
         region = self._regions.get(record.domain, "")
         fresh_s = NEAR_FRESH_S if region == self._region else FAR_FRESH_S
         pool = ConnectionPool(record.address, self._suspicion, fresh_s)
-        self._by_name[record.name] = Backend(load, pool, region, False)
+        made = Backend(load, pool, region, False)
+        self._by_name[record.name] = made
+        return made
 
     def _renew(
         self, backend: Backend, record: UpstreamRecord, now: float
--- a/tests/edge/test_selection.py
+++ b/tests/edge/test_selection.py
@@ -22,7 +22,7 @@
 LOCAL = 6
 
 
-def create_record(name, domain, *, is_ready=True, cold_s=0.0):
+def create_record(name, domain, *, is_ready=True, cold_s=0.0, started_ms=0):
     return UpstreamRecord(
         name,
         "s",
@@ -32,6 +32,7 @@
         SLOTS,
         is_ready,
         cold_s,
+        started_ms,
     )
 
 
@@ -182,3 +183,25 @@
             selection.release(pick.backend)
         assert max(counts.values()) <= 24 / 3
         assert "6" not in counts
+
+    @pytest.mark.parametrize("started_ms", [0, 5])
+    async def test_sends_before_the_news_count_for_the_pace(
+        self, selection, belief, started_ms
+    ):
+        """Guards against a flood by requests before and after the entry
+        that tells of a cold start."""
+        name = ""
+        for _ in range(12):
+            pick = await take(selection, create_need(7))
+            name = pick.backend.record.name
+            selection.release(pick.backend)
+        domain = belief.upstreams[name].domain
+        belief.upstreams[name] = create_record(
+            name, domain, cold_s=3.0, started_ms=started_ms
+        )
+        belief.changes += 1
+        selection.follow_fleet({}, Warming("n1", {"a": ("n1", "n2")}))
+        for _ in range(20):
+            pick = await take(selection, create_need(7))
+            assert pick.backend.record.name != name
+            selection.release(pick.backend)
