Let starting instances warm no more than their part of all registered ones

What callers saw: cold upstreams flooded after several instances started. Cause: the rate of a cold upstream was divided by the names that an instance had heard. One that had just started had heard nobody, took the whole rate, and took it also for upstreams of other regions. Change: for 2 s after its start, and as long as it hears nobody, an instance divides by all instances that the store lists; before it has read that list it sends nothing to cold upstreams. Why it works: the list holds at least all that run, so the parts add up to at most the rate however many start together. Ruled out: counting names that others heard (digests hold 12 of them). Test: core/test_warming.py, TestStartingInstances; not runnable on the old code, where eight such views add up to 8 times the rate.

--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -17,6 +17,7 @@
 from gypsummount._core.freshness import FreshnessProof
 from gypsummount._core.quotas import QuotaShares
 from gypsummount._core.readers import Contact
+from gypsummount._core.warming import divide_regions
 from gypsummount._core.warming import Warming
 from gypsummount._edge.admission import Admission
 from gypsummount._edge.belief import Belief
@@ -73,7 +74,8 @@
         random = Random(self._incarnation)
         limit_s = settings.bounds.proof_limit_s
         self.metrics = Metrics(None, "")
-        self._planned_at = read_monotonic()
+        self._started_at = read_monotonic()
+        self._planned_at = self._started_at
         self.belief = Belief(feed, FreshnessProof(limit_s))
         self.peers = Peers(settings.region)
         self._selection = Selection(
@@ -286,16 +288,20 @@
         self._selection.follow_fleet(demand, self._build_warming())
 
     def _build_warming(self) -> Warming:
-        """Let each region's instances warm it; all, where it has none."""
+        """Return which instances warm the upstreams of each region."""
         own = self._settings.instance
-        everyone = [one.name for one in self.peers.list_known()]
-        by_region = {}
+        known = {}
         for region in set(self._settings.regions.values()):
             names = self.peers.list_region(region)
             if region == self._settings.region:
                 names = [*names, own]
-            by_region[region] = tuple(names or [*everyone, own])
-        return Warming(own, by_region)
+            known[region] = tuple(names)
+        return divide_regions(
+            own,
+            known,
+            tuple(self.belief.instances),
+            read_monotonic() - self._started_at,
+        )
 
     def _build_digest(self, known: tuple[Acquaintance, ...]) -> Digest:
         settings = self._settings
--- a/tests/core/test_warming.py
+++ b/tests/core/test_warming.py
@@ -3,6 +3,7 @@
 import pytest
 
 from gypsummount._core.placement import hash_name
+from gypsummount._core.warming import divide_regions
 from gypsummount._core.warming import Warming
 
 RATE = 4.5
@@ -38,3 +39,39 @@
     def test_instance_of_another_region_sends_nothing(self):
         warming = Warming("n9", {"r": ("n1", "n2")})
         assert warming.find_pace("r", 1, RATE) == 0
+
+
+class TestStartingInstances:
+    """Guards against floods by instances that start and know nobody."""
+
+    FLEET = tuple(f"n{number}" for number in range(8))
+
+    def find_sum(self, views, uptime_s, registered, rate=24.0):
+        return sum(
+            divide_regions(
+                own, {"r": known, "q": ()}, registered, uptime_s
+            ).find_pace("r", SEEDS[0], rate)
+            for own, known in views.items()
+        )
+
+    def test_all_that_start_at_once_keep_to_the_rate(self):
+        views = {own: (own,) for own in self.FLEET}
+        assert self.find_sum(views, 0.1, self.FLEET) <= 24.0
+
+    def test_one_that_hears_nobody_takes_its_part(self):
+        views = {own: (own,) for own in self.FLEET}
+        assert self.find_sum(views, 60.0, self.FLEET) <= 24.0
+
+    def test_nothing_is_sent_before_the_register_is_read(self):
+        views = {own: (own,) for own in self.FLEET}
+        assert self.find_sum(views, 0.1, ()) == 0.0
+
+    def test_instances_of_the_region_share_it_once_they_are_heard(self):
+        views = dict.fromkeys(self.FLEET[:3], self.FLEET[:3])
+        assert self.find_sum(views, 60.0, self.FLEET) == pytest.approx(24.0)
+
+    def test_region_without_instances_is_warmed_by_all(self):
+        warming = divide_regions(
+            "n0", {"r": self.FLEET, "q": ()}, self.FLEET, 60.0
+        )
+        assert warming.by_region["q"] == self.FLEET
--- a/tests/edge/test_selection.py
+++ b/tests/edge/test_selection.py
@@ -188,8 +188,7 @@
     async def test_sends_before_the_news_count_for_the_pace(
         self, selection, belief, started_ms
     ):
-        """Guards against a flood by requests before and after the entry
-        that tells of a cold start."""
+        """Guards against floods around the entry that tells of a start."""
         name = ""
         for _ in range(12):
             pick = await take(selection, create_need(7))
