Doubt upstreams that may have restarted unnoticed, and ask them

What callers saw: cold upstreams were flooded after a lost zone. Cause: an upstream that comes back under its name is told of by its entry up to a second later; until then its old entry, which has not lapsed, says that it is warm. An instance that had started meanwhile, or whose exchanges broke without a failed connection, sent at its usual rate. Class: a decision from an absence of news, where the news is known to be late. Change: an upstream counts as cold at first sight, after a broken exchange (also one that timed out) and after the process was suspended, for its cold time and 1 s, or until it says in a health answer how long it is cold. Only an upstream that a request would go to is asked, once a second by an instance at most, and 8 times a second by a whole fleet. Why it works: within the pace nothing has to be known; leaving the pace takes the upstream's own word, which no delay of the store can make older than the question. A service without a cold limit is not paced. Ruled out: the server's stamp (opaque), asking all at a start (15,000 questions at 75 instances). Tests: edge/test_selection.py TestDoubts and platform/test_program.py TestHealthQuestions (new interfaces), model/test_fleet.py TestColdUpstreams.

--- a/src/gypsummount/_core/backlog.py
+++ b/src/gypsummount/_core/backlog.py
@@ -33,7 +33,10 @@
 
     ENTRY = "entry"
     EVACUATION = "evacuation"
+    FIRST_SIGHT = "first_sight"
+    BROKEN_EXCHANGE = "broken_exchange"
     UNREACHABLE = "unreachable"
+    WAKING = "waking"
 
 
 class ServiceWork:
@@ -90,6 +93,7 @@
         "_sent",
         "_shut_until",
         "cold_until",
+        "doubted_until",
         "error_rate",
         "in_flight",
         "latency_s",
@@ -101,6 +105,7 @@
         self.record = record
         self.seed = hash_name(record.name)
         self.cold_until = 0.0
+        self.doubted_until = 0.0
         self.in_flight = 0
         self.latency_s = 0.0
         self.error_rate = 0.0
@@ -126,8 +131,12 @@
         return now >= self._ejected_until and now >= self._shut_until
 
     def is_cold(self, now: float) -> bool:
-        """Tell whether the upstream still bears few requests only."""
-        return now < self.cold_until
+        """Tell whether the upstream may still bear few requests only."""
+        return now < max(self.cold_until, self.doubted_until)
+
+    def is_doubted(self, now: float) -> bool:
+        """Tell whether the upstream may be cold without our knowledge."""
+        return self.cold_until <= now < self.doubted_until
 
     def has_spare(self, load: float) -> bool:
         """Tell whether one more request that takes long fits at a load."""
@@ -160,19 +169,38 @@
 
     def note_cold(self, now: float, until: float, sign: ColdSign) -> None:
         """Record that the upstream is cold until a moment, at least."""
-        if not self.is_cold(now):
-            self._forget_sends(now)
-            _log.info(
-                "Upstream %s is cold.",
-                self.record.name,
-                extra={
-                    "sign": sign.value,
-                    "for_s": round(until - now, 2),
-                    "sent_last_second": len(self._sent),
-                },
-            )
+        self._log_cold(now, until, sign)
         self.cold_until = max(self.cold_until, until)
 
+    def note_doubt(self, now: float, cold_s: float, sign: ColdSign) -> None:
+        """Record that the upstream may have started again unnoticed.
+
+        Its entry tells of that only later, so it counts as cold for
+        ``cold_s`` and a margin, or until it says otherwise.
+        """
+        until = now + cold_s + RETURN_COLD_S
+        self._log_cold(now, until, sign)
+        self.doubted_until = max(self.doubted_until, until)
+
+    def note_health(self, now: float, cold_s: float) -> None:
+        """Record how much longer (s) the upstream says it is cold."""
+        self.doubted_until = 0.0
+        self.cold_until = now + cold_s
+
+    def _log_cold(self, now: float, until: float, sign: ColdSign) -> None:
+        if self.is_cold(now):
+            return
+        self._forget_sends(now)
+        _log.info(
+            "Upstream %s is cold.",
+            self.record.name,
+            extra={
+                "sign": sign.value,
+                "for_s": round(until - now, 2),
+                "sent_last_second": len(self._sent),
+            },
+        )
+
     def note_end(self) -> None:
         """Record that an exchange is over, however it ended."""
         self.in_flight -= 1
@@ -220,5 +248,5 @@
         """
         self.note_fault(now)
         self._ejected_until = max(self._ejected_until, now + FIRST_EJECTION_S)
-        until = self._ejected_until + cold_s + RETURN_COLD_S
-        self.note_cold(now, until, ColdSign.UNREACHABLE)
+        cold_s += self._ejected_until - now
+        self.note_doubt(now, cold_s, ColdSign.UNREACHABLE)
--- a/src/gypsummount/_core/catalog.py
+++ b/src/gypsummount/_core/catalog.py
@@ -38,11 +38,16 @@
 
 @dataclass(slots=True, frozen=True)
 class EdgeService:
-    """Limits of the upstreams of one service."""
+    """Limits of the upstreams of one service.
+
+    Upstreams answer for their health on ``health_path``; an empty one
+    means that they can't be asked.
+    """
 
     name: str
     cold_s: float
     cold_rate: float
+    health_path: str = ""
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/gypsummount/_edge/backends.py
+++ b/src/gypsummount/_edge/backends.py
@@ -38,12 +38,16 @@
 
 @dataclass(slots=True)
 class Backend:
-    """One upstream with its load and its connections."""
+    """One upstream with its load and its connections.
+
+    ``asked_at`` is when it was last asked for its health (boot clock, s).
+    """
 
     load: UpstreamLoad
     pool: ConnectionPool
     region: str
     is_usable: bool = True
+    asked_at: float = float("-inf")
 
     @property
     def record(self) -> UpstreamRecord:
@@ -97,10 +101,25 @@
         for backend in self._by_name.values():
             self._mark(backend, now)
 
+    def doubt_all(self, now: float) -> None:
+        """Let every upstream count as cold: this process was suspended."""
+        for backend in self:
+            cold_s = self.find_cold(backend.record)
+            backend.load.note_doubt(now, cold_s, ColdSign.WAKING)
+
+    def find_cold(self, record: UpstreamRecord) -> float:
+        """Return how long (s) an upstream is cold after its start."""
+        catalog = self._belief.catalog
+        service = catalog.services.get(record.service) if catalog else None
+        return service.cold_s if service is not None else 0.0
+
     def _add(self, record: UpstreamRecord, now: float) -> Backend:
         load = UpstreamLoad(record)
         if record.cold_s > 0:
             load.note_cold(now, now + record.cold_s, ColdSign.ENTRY)
+        else:
+            cold_s = self.find_cold(record)
+            load.note_doubt(now, cold_s, ColdSign.FIRST_SIGHT)
         region = self._regions.get(record.domain, "")
         fresh_s = NEAR_FRESH_S if region == self._region else FAR_FRESH_S
         pool = ConnectionPool(record.address, self._suspicion, fresh_s)
@@ -130,11 +149,9 @@
         if is_evacuated:
             backend.load.cold_until = float("inf")
         elif backend.load.cold_until == float("inf"):
-            catalog = self._belief.catalog
-            service = catalog.services.get(record.service) if catalog else None
-            cold_s = service.cold_s if service is not None else 0.0
             backend.load.cold_until = now
-            backend.load.note_cold(now, now + cold_s, ColdSign.EVACUATION)
+            until = now + self.find_cold(record)
+            backend.load.note_cold(now, until, ColdSign.EVACUATION)
         if was_usable != backend.is_usable:
             _log.info(
                 "Upstream %s of %s is %s.",
--- /dev/null
+++ b/src/gypsummount/_edge/probing.py
@@ -0,0 +1,83 @@
+"""Questions to upstreams that may be cold without our knowledge."""
+
+from asyncio import Queue
+from asyncio import sleep
+from asyncio import TaskGroup
+from random import random
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._common.logs import get_logger
+from gypsummount._edge.backends import Backend
+from gypsummount._edge.belief import Belief
+from gypsummount._edge.wire import Wire
+from gypsummount._entry.connections import ExchangeError
+
+ASK_GAP_S = 1.0
+ANSWER_LIMIT_S = 1.0
+# Questions that one upstream gets from the whole fleet.
+ASKED_PER_S = 8.0
+
+_log = get_logger("probing")
+
+
+class Prober:
+    """Asks doubted upstreams for their health, each once in a while.
+
+    Only those that a request would go to are asked.  In a large fleet
+    the questions are spread out, since they are work for a cold one.
+    """
+
+    def __init__(self, belief: Belief, wire: Wire) -> None:
+        self._belief = belief
+        self._wire = wire
+        self._instances = 1
+        self._wanted: Queue[Backend] = Queue()
+
+    def follow_fleet(self, instances: int) -> None:
+        """Take the number of instances that may ask."""
+        self._instances = instances
+
+    def ask(self, backend: Backend, now: float) -> None:
+        """Ask an upstream soon, unless it was asked lately."""
+        if now - backend.asked_at < ASK_GAP_S:
+            return
+        backend.asked_at = now
+        self._wanted.put_nowait(backend)
+
+    async def run(self) -> None:
+        """Ask whom requests would go to, for ever."""
+        async with TaskGroup() as group:
+            while True:
+                backend = await self._wanted.get()
+                group.create_task(self._ask(backend))
+
+    async def _ask(self, backend: Backend) -> None:
+        spread_s = self._instances / ASKED_PER_S - 1.0
+        if spread_s > 0:
+            await sleep(random() * spread_s)
+        path = self._find_path(backend)
+        if not path or not backend.is_usable:
+            return
+        request = self._wire.build_health_request(path)
+        try:
+            answer = await backend.pool.send(
+                request, ANSWER_LIMIT_S, repeatable=True, new_only=True
+            )
+        except ExchangeError as error:
+            _log.info("No word from %s: %s", backend.record.name, error)
+            return
+        report = self._wire.read_health(answer)
+        if report is None or report.upstream != backend.record.name:
+            return
+        backend.load.note_health(read_monotonic(), report.cold_s)
+        if report.cold_s > 0:
+            _log.info(
+                "Upstream %s says that it is cold.",
+                backend.record.name,
+                extra={"for_s": round(report.cold_s, 2)},
+            )
+
+    def _find_path(self, backend: Backend) -> str:
+        catalog = self._belief.catalog
+        service = catalog.services.get(backend.record.service)
+        return service.health_path if service is not None else ""
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -39,6 +39,7 @@
 from gypsummount._edge.mirror import WATCH_S
 from gypsummount._edge.peers import GOSSIP_S
 from gypsummount._edge.peers import Peers
+from gypsummount._edge.probing import Prober
 from gypsummount._edge.proxy import Proxy
 from gypsummount._edge.repeats import Repeats
 from gypsummount._edge.rollouts import Rollouts
@@ -78,8 +79,9 @@
         self._planned_at = self._started_at
         self.belief = Belief(feed, FreshnessProof(limit_s))
         self.peers = Peers(settings.region)
+        self._prober = Prober(self.belief, wire)
         self._selection = Selection(
-            self.belief, settings.region, settings.regions
+            self.belief, settings.region, settings.regions, self._prober
         )
         self._quotas = QuotaShares(START_SHARE)
         self._repeats = Repeats()
@@ -198,6 +200,7 @@
                 stack, self._mirror.follow(kind), f"mirror.{kind.value}"
             )
         start_task(stack, self._following.run(), "following")
+        start_task(stack, self._prober.run(), "probing")
         steps = (
             (self._tell, GOSSIP_S, "gossip"),
             (self._plan, PLAN_S, "plan"),
@@ -234,7 +237,9 @@
         self.belief.expire_held(now)
         self._follow_fleet(now)
         self._selection.update()
-        self._repeats.follow_fleet(len(self.peers.list_known()) + 1)
+        instances = len(self.peers.list_known()) + 1
+        self._repeats.follow_fleet(instances)
+        self._prober.follow_fleet(max(instances, len(self.belief.instances)))
         self._following.follow_fleet(self.peers.list_live(now))
         await self._following.catch_up()
         self._planned_at = read_monotonic()
--- a/src/gypsummount/_edge/proxy.py
+++ b/src/gypsummount/_edge/proxy.py
@@ -249,10 +249,11 @@
         now = read_monotonic()
         if not error.sent:
             if backend.is_usable and case.deadline - now >= LEAST_SEND_S:
-                backend.load.note_unreachable(now, self._find_cold(backend))
+                self._selection.note_unreachable(backend, now)
             self._check_time(case, now)
             return
         case.may_have_run = True
+        self._selection.note_broken(backend, now)
         is_timeout = isinstance(error, ExchangeTimeout)
         if not is_timeout or case.deadline - now <= LEAST_SEND_S:
             backend.load.note_fault(now)
@@ -270,8 +271,3 @@
         if case.may_have_run:
             raise OutcomeUnknown("the time is over; the request may have run")
         raise NoCapacity("no upstream took the request in time")
-
-    def _find_cold(self, backend: Backend) -> float:
-        catalog = self._belief.catalog
-        service = catalog.services.get(backend.record.service)
-        return service.cold_s if service is not None else 0.0
--- a/src/gypsummount/_edge/selection.py
+++ b/src/gypsummount/_edge/selection.py
@@ -11,6 +11,7 @@
 
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.logs import get_logger
+from gypsummount._core.backlog import ColdSign
 from gypsummount._core.backlog import ServiceWork
 from gypsummount._core.placement import add_expected
 from gypsummount._core.placement import mix_hashes
@@ -21,6 +22,7 @@
 from gypsummount._edge.backends import Backends
 from gypsummount._edge.backends import Need
 from gypsummount._edge.belief import Belief
+from gypsummount._edge.probing import Prober
 from gypsummount.errors import NoCapacity
 
 MAX_WAITING = 24
@@ -33,6 +35,8 @@
 RETRY_S = 0.2
 RETRY_SPREAD_S = 0.3
 MAX_RANKS = 20_000
+# Two looks so far apart (s) mean that the process was suspended.
+WAKE_GAP_S = 1.0
 
 _log = get_logger("selection")
 
@@ -78,9 +82,14 @@
     """Chooses upstreams by region plan, affinity, load and pace."""
 
     def __init__(
-        self, belief: Belief, region: str, regions: dict[str, str]
+        self,
+        belief: Belief,
+        region: str,
+        regions: dict[str, str],
+        prober: Prober,
     ) -> None:
         self._belief = belief
+        self._prober = prober
         self._region = region
         self._regions = regions
         self._backends = Backends(belief, region, regions)
@@ -92,6 +101,7 @@
         self._warming = Warming("")
         self._measured_at = read_monotonic()
         self._settled_at = self._measured_at + SETTLE_S
+        self._looked_at = self._measured_at
 
     def close(self) -> None:
         """Close all connections."""
@@ -172,6 +182,16 @@
             raise _build_full(need)
         return await self._wait(view, need, tried, limit_s)
 
+    def note_unreachable(self, backend: Backend, now: float) -> None:
+        """Record that no connection to an upstream could be made."""
+        cold_s = self._backends.find_cold(backend.record)
+        backend.load.note_unreachable(now, cold_s)
+
+    def note_broken(self, backend: Backend, now: float) -> None:
+        """Record that an exchange broke: the upstream may be a new one."""
+        cold_s = self._backends.find_cold(backend.record)
+        backend.load.note_doubt(now, cold_s, ColdSign.BROKEN_EXCHANGE)
+
     def release(self, backend: Backend) -> None:
         """End an exchange and serve the next waiting request."""
         backend.load.note_end()
@@ -295,9 +315,7 @@
             )
             if cost_s is None or (best is not None and cost_s >= least_s):
                 continue
-            if load.is_cold(now) and not load.has_pace(
-                now, self._find_pace(backend)
-            ):
+            if not self._has_pace(backend, now):
                 continue
             best = Pick(backend, position, estimate)
             least_s = cost_s
@@ -312,14 +330,24 @@
             for backend in view.by_region.get(region, ())
         )
 
-    def _find_pace(self, backend: Backend) -> float:
-        """Return this instance's part of a cold upstream's rate."""
+    def _has_pace(self, backend: Backend, now: float) -> bool:
+        """Tell whether an upstream may get one more request, if cold."""
+        load = backend.load
+        if not load.is_cold(now):
+            return True
+        if load.is_doubted(now):
+            self._prober.ask(backend, now)
+        rate = self._find_cold_rate(backend)
+        if rate <= 0:
+            return True
+        pace = self._warming.find_pace(backend.region, load.seed, rate)
+        return load.has_pace(now, pace)
+
+    def _find_cold_rate(self, backend: Backend) -> float:
+        """Return what a cold upstream bears (1/s); 0 means no limit."""
         catalog = self._belief.catalog
-        if catalog is None:
-            return 0.0
         service = catalog.services.get(backend.record.service)
-        rate = service.cold_rate if service is not None else 0.0
-        return self._warming.find_pace(backend.region, backend.load.seed, rate)
+        return service.cold_rate if service is not None else 0.0
 
     def _rank(self, need: Need, region: str) -> list[Backend]:
         name = _RankName(need.service, region, need.hashed)
@@ -351,6 +379,9 @@
 
     def _refresh(self, now: float) -> None:
         """Take over what changed in the belief since the last call."""
+        if now - self._looked_at > WAKE_GAP_S:
+            self._backends.doubt_all(now)
+        self._looked_at = now
         if self._seen_changes == self._belief.changes:
             return
         self._seen_changes = self._belief.changes
--- a/src/gypsummount/_edge/wire.py
+++ b/src/gypsummount/_edge/wire.py
@@ -28,6 +28,14 @@
     patience_s: float | None
 
 
+@dataclass(slots=True, frozen=True)
+class HealthReport:
+    """Which upstream answers, and how much longer (s) it is cold."""
+
+    upstream: str
+    cold_s: float
+
+
 @dataclass(slots=True, frozen=True)
 class LoadReport:
     """Requests running and waiting at an upstream."""
@@ -71,6 +79,14 @@
     ) -> UpstreamRequest:
         """Return what is sent to an upstream."""
 
+    @abstractmethod
+    def build_health_request(self, path: str) -> UpstreamRequest:
+        """Return the question for an upstream's health."""
+
+    @abstractmethod
+    def read_health(self, answer: UpstreamAnswer) -> HealthReport | None:
+        """Return what an upstream says, or None if it says nothing."""
+
     @abstractmethod
     def read_verdict(self, answer: UpstreamAnswer) -> Verdict:
         """Return what the answer's head tells."""
--- a/src/gypsummount/platform/documents.py
+++ b/src/gypsummount/platform/documents.py
@@ -60,6 +60,7 @@
             raw["name"],
             float(raw.get("coldStartS") or 0.0),
             float(raw.get("coldPerS") or 0.0),
+            str(raw.get("healthPath") or ""),
         )
     for raw in body.get("tenants") or ():
         workspace = _decode_workspace(raw)
--- a/src/gypsummount/platform/wire.py
+++ b/src/gypsummount/platform/wire.py
@@ -8,6 +8,7 @@
 from gypsummount._core.sanitizing import Header
 from gypsummount._core.sanitizing import HOP_BY_HOP
 from gypsummount._edge.wire import Arrival
+from gypsummount._edge.wire import HealthReport
 from gypsummount._edge.wire import LoadReport
 from gypsummount._edge.wire import Verdict
 from gypsummount._edge.wire import Wire
@@ -24,6 +25,9 @@
 AFFINITY_COOKIE = "Gypsummount-Affinity-Key"
 NOT_EXECUTED = "gypsummount-not-executed"
 LOAD = "gypsummount-server-load"
+INSTANCE = "gypsummount-instance-id"
+COLD = "gypsummount-cold-milliseconds"
+OK = 200
 UNAUTHORIZED = 401
 MISDIRECTED = 421
 MS_PER_S = 1000
@@ -83,6 +87,20 @@
             takes_unframed=True,
         )
 
+    def build_health_request(self, path: str) -> UpstreamRequest:
+        """Return the question for a server's health."""
+        return UpstreamRequest("GET", path, (), b"", "", takes_unframed=True)
+
+    def read_health(self, answer: UpstreamAnswer) -> HealthReport | None:
+        """Return a server's word; one that is full says nothing."""
+        if answer.status != OK:
+            return None
+        headers = {line.name.lower(): line.value for line in answer.headers}
+        cold_ms = headers.get(COLD, "0")
+        if INSTANCE not in headers or not cold_ms.isdecimal():
+            return None
+        return HealthReport(headers[INSTANCE], int(cold_ms) / MS_PER_S)
+
     def read_verdict(self, answer: UpstreamAnswer) -> Verdict:
         """Return what the answer's head tells."""
         ran = answer.status != MISDIRECTED
--- a/tests/edge/test_selection.py
+++ b/tests/edge/test_selection.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from gypsummount._common.clocks import read_monotonic
 from gypsummount._core.backlog import MOST_LOAD
 from gypsummount._core.catalog import CallerLimits
 from gypsummount._core.catalog import Catalog
@@ -13,6 +14,7 @@
 from gypsummount._core.warming import Warming
 from gypsummount._edge.backends import Need
 from gypsummount._edge.belief import Belief
+from gypsummount._edge.probing import Prober
 from gypsummount._edge.selection import MOST_PLACES
 from gypsummount._edge.selection import Selection
 from gypsummount.errors import NoCapacity
@@ -54,9 +56,11 @@
 
 @pytest.fixture
 def selection(belief):
-    made = Selection(belief, "a", REGIONS)
+    made = Selection(belief, "a", REGIONS, Prober(belief, None))
     made.follow_fleet({}, Warming("n1", {"a": ("n1",)}))
     made.update()
+    for backend in made._backends:
+        backend.load.note_health(read_monotonic(), 0.0)
     yield made
     made.close()
 
@@ -204,3 +208,62 @@
             pick = await take(selection, create_need(7))
             assert pick.backend.record.name != name
             selection.release(pick.backend)
+
+
+class TestDoubts:
+    def find_paced(self, selection):
+        now = read_monotonic()
+        return [
+            backend.record.name
+            for backend in selection._backends
+            if backend.load.is_cold(now)
+        ]
+
+    async def test_upstream_counts_as_cold_when_first_seen(
+        self, selection, belief
+    ):
+        """Guards against floods by instances that have just started."""
+        belief.upstreams["9"] = create_record("9", "a1")
+        belief.changes += 1
+        selection.update()
+        assert self.find_paced(selection) == ["9"]
+
+    async def test_broken_exchange_makes_an_upstream_count_as_cold(
+        self, selection
+    ):
+        """Guards against floods of upstreams that restart unnoticed."""
+        pick = await take(selection, create_need(7))
+        selection.note_broken(pick.backend, read_monotonic())
+        assert self.find_paced(selection) == [pick.backend.record.name]
+
+    async def test_suspended_instance_doubts_all_upstreams(
+        self, selection, monkeypatch
+    ):
+        """Guards against floods by an instance that wakes up."""
+        later = read_monotonic() + 2.0
+        monkeypatch.setattr(
+            "gypsummount._edge.selection.read_monotonic", lambda: later
+        )
+        selection.update()
+        assert len(selection._backends._by_name) == 8
+        assert all(
+            backend.load.is_cold(later) for backend in selection._backends
+        )
+
+    async def test_word_of_an_upstream_ends_the_doubt(self, selection):
+        pick = await take(selection, create_need(7))
+        now = read_monotonic()
+        selection.note_broken(pick.backend, now)
+        pick.backend.load.note_health(now, 0.0)
+        assert self.find_paced(selection) == []
+        pick.backend.load.note_health(now, 1.5)
+        assert pick.backend.load.cold_until == now + 1.5
+
+    async def test_upstream_without_a_limit_is_never_paced(
+        self, selection, belief
+    ):
+        belief.catalog.services["s"] = EdgeService("s", 3.0, 0.0)
+        for backend in selection._backends:
+            selection.note_broken(backend, read_monotonic())
+        selection.follow_fleet({}, Warming("n1", {}))
+        await take(selection, create_need(7))
--- a/tests/model/troubles.py
+++ b/tests/model/troubles.py
@@ -77,7 +77,14 @@
         "version": version,
         "limits": {"idleTimeoutS": 15, "bodyBytes": 1_000_000},
         "listeners": [{"host": "h.example", "rules": [rule]}],
-        "clusters": [{"name": "s", "coldStartS": 3.0, "coldPerS": 24.0}],
+        "clusters": [
+            {
+                "name": "s",
+                "healthPath": "/health",
+                "coldStartS": 3.0,
+                "coldPerS": 24.0,
+            }
+        ],
     }
 
 
@@ -146,7 +153,10 @@
 
     async def _lose_domain(self):
         domain = self._random.choice(list(self._fleet.regions))
-        for_s = self._random.uniform(0.5, 5.5)
+        await self.lose_domain(domain, self._random.uniform(0.5, 5.5))
+
+    async def lose_domain(self, domain, for_s):
+        """Take the power of a domain; all of it comes back together."""
         machines = [
             one for one in self._list_alive() if one.links.domain == domain
         ]
--- a/tests/model/upstreams.py
+++ b/tests/model/upstreams.py
@@ -171,10 +171,10 @@
     def close(self):
         self._kept.clear()
 
-    async def send(self, request, limit_s, *, repeatable):
+    async def send(self, request, limit_s, *, repeatable, new_only=False):
         began = get_running_loop().time()
         upstream = self.network.find_upstream(self.address)
-        start = self._take_kept(upstream)
+        start = None if new_only else self._take_kept(upstream)
         if start is None:
             start = await self._open(upstream, min(limit_s, CONNECT_LIMIT_S))
         left_s = max(0.001, limit_s - (get_running_loop().time() - began))
@@ -215,10 +215,15 @@
             await Event().wait()
         if start != upstream.born or not upstream.is_up:
             raise ExchangeError("the connection was reset", sent=True)
+        machine = self._owner.machine.name
+        if request.target == "/health":
+            upstream.note_arrival(sent_at, machine)
+            await sleep(delay_s)
+            return _build_health(upstream)
         headers = {one.name: one.value for one in request.headers}
         if headers[EXPECTED] != upstream.name:
             return UpstreamAnswer(421, "Misdirected", [], b"")
-        upstream.note_arrival(sent_at, self._owner.machine.name)
+        upstream.note_arrival(sent_at, machine)
         if upstream.running >= SLOTS + QUEUE:
             await sleep(delay_s)
             return _build_answer(upstream, 503)
@@ -243,6 +248,15 @@
         raise ExchangeError("the connection was reset", sent=True)
 
 
+def _build_health(upstream):
+    left_s = max(0.0, upstream.cold_until - get_running_loop().time())
+    headers = [
+        Header("Gypsummount-Instance-Id", upstream.name),
+        Header("Gypsummount-Cold-Milliseconds", str(int(left_s * MS_PER_S))),
+    ]
+    return UpstreamAnswer(200, "", headers, b"")
+
+
 def _build_answer(upstream, status):
     load = f"{upstream.running},0,{SLOTS}"
     headers = [Header("Gypsummount-Server-Load", load)]
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -161,6 +161,8 @@
         self.delay_s = 0.0
         self.runs = []
         self.headers = []
+        self.cold_ms = 0
+        self.health_checks = 0
 
 
 class _ServerHandler(RequestHandler):
@@ -168,8 +170,23 @@
         self.server = server
 
     async def get(self):
+        if self.request.path == "/health":
+            self._answer_health()
+            return
         await self._answer()
 
+    def _answer_health(self):
+        server = self.server
+        server.health_checks += 1
+        if server.behaviour == "full":
+            self.set_status(503)
+            self.set_header("Gypsummount-Not-Executed", "1")
+        self.set_header("Gypsummount-Instance-Id", server.name)
+        if server.cold_ms:
+            cold_ms = str(server.cold_ms)
+            self.set_header("Gypsummount-Cold-Milliseconds", cold_ms)
+        self.finish()
+
     async def post(self):
         await self._answer()
 
@@ -268,7 +285,14 @@
             }
         ],
         "listeners": [{"host": "h.example", "rules": rules}],
-        "clusters": [{"name": "s", "coldStartS": 3.0, "coldPerS": 24.0}],
+        "clusters": [
+            {
+                "name": "s",
+                "healthPath": "/health",
+                "coldStartS": 3.0,
+                "coldPerS": 24.0,
+            }
+        ],
     }
 
 
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -242,3 +242,25 @@
             answer = await deployment.call(1, "GET", "/read/x")
             assert answer.status == 200
             assert deployment.processes[1].poll() is None
+
+
+class TestHealthQuestions:
+    async def test_doubted_server_is_asked_once_a_second_at_most(
+        self, instance
+    ):
+        """Guards against floods of servers that restart unnoticed."""
+        for server in instance.servers.values():
+            server.behaviour = "lost"
+        for number in range(12):
+            await instance.call(1, "POST", "/book/x", request_id=str(number))
+        asked = [one.health_checks for one in instance.servers.values()]
+        assert 1 <= sum(asked) <= 4
+
+    async def test_word_of_a_cold_server_is_heard(self, instance):
+        for server in instance.servers.values():
+            server.behaviour = "lost"
+            server.cold_ms = 2500
+        await instance.call(1, "POST", "/book/x")
+        await instance.call(1, "POST", "/book/x", request_id="id-2")
+        await sleep(0.3)
+        assert "says that it is cold" in instance.read_log(1)
