Ignore heartbeats of upstreams that arrive after later ones

What callers saw: an upstream that had said that it leaves got requests again; one that had started again was taken for warm. Cause: the entry that the store took last was believed, though a heartbeat may be long on its way. Class: order by arrival where the sender gives an order. Change: entries are ordered by start and count of heartbeats. A start that seems earlier counts once it has sent a second heartbeat, for its clock may have been set back.

--- a/src/gypsummount/_core/catalog.py
+++ b/src/gypsummount/_core/catalog.py
@@ -114,7 +114,8 @@
     """An upstream as it registered itself.
 
     ``cold_s`` is how much longer it stays cold, ``started_ms`` the Unix
-    millisecond of its start (0 when it is not known).
+    millisecond of its start (0 when it is not known) and ``sequence``
+    the count of its heartbeats since then.
     """
 
     name: str
@@ -126,6 +127,7 @@
     is_ready: bool
     cold_s: float = 0.0
     started_ms: int = 0
+    sequence: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/gypsummount/_edge/belief.py
+++ b/src/gypsummount/_edge/belief.py
@@ -9,6 +9,7 @@
 from gypsummount._core.catalog import RolloutOrder
 from gypsummount._core.catalog import UpstreamRecord
 from gypsummount._core.freshness import FreshnessProof
+from gypsummount._core.registrations import RegistrationOrder
 from gypsummount._edge.feed import Feed
 from gypsummount._edge.feed import InstanceRecord
 from gypsummount._edge.feed import Kind
@@ -48,6 +49,7 @@
             kind: {} for kind in Kind
         }
         self._held: dict[str, float] = {}
+        self._order = RegistrationOrder()
         self.proof = proof
         self.revisions: dict[Kind, int] = {}
         self.changed: dict[Kind, int] = {}
@@ -178,7 +180,7 @@
                 },
             )
         elif isinstance(value, UpstreamRecord):
-            self.upstreams[record.name] = value
+            self._apply_upstream(value)
         elif isinstance(value, RolloutOrder):
             self.rollouts[value.service] = value
         elif isinstance(value, InstanceRecord):
@@ -186,6 +188,17 @@
         else:
             self.evacuated = self.evacuated | {record.name}
 
+    def _apply_upstream(self, value: UpstreamRecord) -> None:
+        known = self.upstreams.get(value.name)
+        if known is not None and self._order.is_outdated(value, known):
+            _log.info(
+                "Ignored an outdated entry of upstream %s.",
+                value.name,
+                extra={"sequence": value.sequence, "known": known.sequence},
+            )
+            return
+        self.upstreams[value.name] = value
+
     def _remove(
         self, kind: Kind, name: str, revision: int, now: float
     ) -> None:
@@ -227,6 +240,7 @@
     def _forget(self, kind: Kind, name: str) -> None:
         if kind is Kind.UPSTREAM:
             self.upstreams.pop(name, None)
+            self._order.forget(name)
         elif kind is Kind.EVACUATION:
             self.evacuated = self.evacuated - {name}
         elif kind is Kind.ROLLOUT:
--- a/src/gypsummount/platform/documents.py
+++ b/src/gypsummount/platform/documents.py
@@ -123,7 +123,7 @@
     slots = _read_whole(body, "slots")
     if slots < 1:
         raise ValueError("slots below 1")
-    _read_whole(body, "sequence")
+    sequence = _read_whole(body, "sequence")
     cold_s = body["coldRemainingS"]
     if isinstance(cold_s, bool) or not isinstance(cold_s, (int, float)):
         raise ValueError("coldRemainingS")
@@ -142,6 +142,7 @@
         state == "ready",
         float(cold_s),
         born,
+        sequence,
     )
 
 
--- a/tests/model/run.py
+++ b/tests/model/run.py
@@ -83,5 +83,5 @@
         fleet.store,
         fleet.random,
     )
-    fleet.store.put(Kind.UPSTREAM, upstream.name, upstream._build_entry())
+    fleet.store.put(Kind.UPSTREAM, upstream.name, upstream.build_entry())
     fleet.add_upstream(upstream)
--- a/tests/model/troubles.py
+++ b/tests/model/troubles.py
@@ -39,11 +39,13 @@
         """Let an upstream say that it leaves; it serves on."""
         if self._fleet.store.is_down:
             return
-        upstream.state = "draining"
-        entry = upstream._build_entry()
+        before = upstream.build_entry()
+        upstream.drain()
+        entry = upstream.build_entry()
         self._fleet.store.put(Kind.UPSTREAM, upstream.name, entry)
         left = Acknowledgement(upstream.name, read_monotonic())
         self._judge.left.append(left)
+        await upstream.repeat_old(before)
 
     async def evacuate(self, domain, for_s):
         store = self._fleet.store
--- a/tests/model/upstreams.py
+++ b/tests/model/upstreams.py
@@ -69,6 +69,8 @@
         self.beat_at = self.born
         self.floods = []
         self._written = None
+        self._sequence = 0
+        self._last = self.build_entry()
         self._arrivals = deque()
 
     @property
@@ -86,10 +88,15 @@
         self.is_up = True
         self.is_dark = False
         self.born = now
+        self._sequence = 0
         self.cold_until = now + COLD_S
         self.ended = Event()
         self._arrivals.clear()
 
+    def drain(self):
+        self.state = "draining"
+        self._sequence += 1
+
     def turn_cold(self):
         self.cold_until = get_running_loop().time() + COLD_S
 
@@ -102,21 +109,27 @@
         if not self.is_up:
             self._lapse()
             return
-        entry = self._build_entry()
+        self._sequence += 1
+        entry = self.build_entry()
         await sleep(self._random.uniform(0, ENTRY_LAG_S))
         is_over = not self.is_up or entry["state"] != self.state
         if self._store.is_down or is_over:
             return
         self.beat_at = get_running_loop().time()
-        if entry != self._written:
-            self._written = entry
+        if {**entry, "sequence": 0} != self._written:
+            self._written = {**entry, "sequence": 0}
+            self._last = entry
             self._store.put(Kind.UPSTREAM, self.name, entry)
 
     async def announce(self):
         """Write the first entry after a start; an old one may follow."""
-        before = self._written
+        before = self._last
         await self._beat()
-        if before is not None and self._random.random() < OLD_BEAT_SHARE:
+        await self.repeat_old(before)
+
+    async def repeat_old(self, before):
+        """Let a heartbeat from before a change arrive after it, at times."""
+        if self._random.random() < OLD_BEAT_SHARE:
             await sleep(self._random.uniform(0, ENTRY_LAG_S))
             self._written = before
             self._store.put(Kind.UPSTREAM, self.name, before)
@@ -127,7 +140,7 @@
             self._written = None
             self._store.delete(Kind.UPSTREAM, self.name)
 
-    def _build_entry(self):
+    def build_entry(self):
         left_s = max(0.0, self.cold_until - get_running_loop().time())
         return {
             "service": "s",
@@ -137,7 +150,7 @@
             "slots": SLOTS,
             "state": self.state,
             "coldRemainingS": round(left_s, 1),
-            "sequence": 1,
+            "sequence": self._sequence,
             "born": int(self.born * MS_PER_S),
         }
 
