Time how far an instance is behind by a target that stays

What callers saw: drains and configurations that were not in force in time at single instances, during series of changes. Cause: an instance that is behind asks a peer after 0.4 s, but that time began anew whenever a peer's revision rose. Under a stream of changes it never ended, so a silent watch was found by its own time-out alone (5.8 or 8.8 s). Besides, only the first kind was looked at, a peer that had just died was asked again and again, and meanwhile the plans stood still, as they ran in the same step. Class: a timer that is restarted by the very events it guards against. Evidence: model, instances whose watches went silent beside ten changes a second: a drain not seen within 2.5 s by five instances in touch. Change: the revision that has to be reached stays until it is reached; each kind has its own; a peer that gives no records is left out for 2 s; catching up is a step of its own. Why it works: 0.4 s after the first word of a change the instance asks, however many changes follow.

--- a/src/gypsummount/_edge/following.py
+++ b/src/gypsummount/_edge/following.py
@@ -1,10 +1,10 @@
 """Following of a peer's records, in place of own calls to the store."""
 
 from asyncio import sleep
-from dataclasses import dataclass
 
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.logs import get_logger
+from gypsummount._core.lags import Lag
 from gypsummount._core.readers import Candidate
 from gypsummount._core.readers import choose_reader
 from gypsummount._core.readers import Contact
@@ -36,12 +36,6 @@
 _log = get_logger("following")
 
 
-@dataclass(slots=True, frozen=True)
-class _Lag:
-    kind: Kind
-    revision: int
-
-
 class Following:
     """Reads the store while it must, and else follows the reader.
 
@@ -62,7 +56,7 @@
         self._port = port
         self._belief = belief
         self._mirror = mirror
-        self._lags: dict[_Lag, float] = {}
+        self._lags: dict[Kind, Lag] = {}
         self._live: list[Digest] = []
         self._distrusted: dict[str, float] = {}
         self._cursor = NO_CURSOR
@@ -98,7 +92,7 @@
             for one in self._live
             if one.region == self._region
             and one.phase == SERVING
-            and self._distrusted.get(one.name, 0.0) <= now
+            and self._is_trusted(one, now)
         }
         candidates = [
             Candidate(one.name, Contact(one.contact)) for one in peers.values()
@@ -106,6 +100,13 @@
         candidates.append(Candidate(self._name, self._mirror.find_contact()))
         return peers.get(choose_reader(candidates) or "")
 
+    def _is_trusted(self, digest: Digest, now: float) -> bool:
+        return self._distrusted.get(digest.name, 0.0) <= now
+
+    def _distrust(self, digest: Digest) -> None:
+        """Ask a peer that gave no records for nothing more for a while."""
+        self._distrusted[digest.name] = read_monotonic() + DISTRUST_S
+
     async def _follow(self, reader: Digest) -> None:
         if reader.name != self._reader:
             self.close()
@@ -118,7 +119,7 @@
         except (ExchangeError, RecordInvalid) as error:
             _log.warning("Reader %s gives no records: %s", reader.name, error)
             self._mirror.is_reading = True
-            self._distrusted[reader.name] = read_monotonic() + DISTRUST_S
+            self._distrust(reader)
             self.close()
             self._reader = ""
             return
@@ -165,44 +166,51 @@
         Without the store the difference counts at once.
         """
         now = read_monotonic()
-        ahead = self._find_ahead()
-        if ahead is None:
-            self._lags.clear()
-            return
-        lag, digest = ahead
-        since = self._lags.setdefault(lag, now)
         is_lost = self._mirror.find_contact() is Contact.LOST
-        if not is_lost and now - since < LAG_S:
-            return
-        self._lags.clear()
+        for kind in REQUIRED:
+            ahead = self._find_ahead(kind, now)
+            if ahead is None:
+                continue
+            behind_s = self._measure_lag(kind, ahead, now)
+            if is_lost or behind_s >= LAG_S:
+                self._log_lag(kind, ahead, behind_s)
+                await self._pull(ahead)
+                return
+
+    def _find_known(self, kind: Kind) -> int:
+        if not self._belief.is_known(kind):
+            return -1
+        return self._belief.changed.get(kind, 0)
+
+    def _find_ahead(self, kind: Kind, now: float) -> Digest | None:
+        """Return the peer that knows most, if it knows more."""
+        peers = [one for one in self._live if self._is_trusted(one, now)]
+        best = max(
+            peers,
+            key=lambda one: one.revisions.get(kind.value, -1),
+            default=None,
+        )
+        if best is None:
+            return None
+        revision = best.revisions.get(kind.value, -1)
+        return best if revision > self._find_known(kind) else None
+
+    def _measure_lag(self, kind: Kind, ahead: Digest, now: float) -> float:
+        lag = self._lags.setdefault(kind, Lag())
+        revision = ahead.revisions[kind.value]
+        return lag.measure(self._find_known(kind), revision, now)
+
+    def _log_lag(self, kind: Kind, ahead: Digest, behind_s: float) -> None:
         _log.info(
             "Peer %s is ahead in %s.",
-            digest.name,
-            lag.kind.value,
+            ahead.name,
+            kind.value,
             extra={
-                "revision": lag.revision,
-                "known": self._belief.changed.get(lag.kind, 0),
-                "behind_s": round(now - since, 2),
+                "revision": ahead.revisions[kind.value],
+                "known": self._find_known(kind),
+                "behind_s": round(behind_s, 2),
             },
         )
-        await self._pull(digest)
-
-    def _find_ahead(self) -> tuple[_Lag, Digest] | None:
-        for kind in REQUIRED:
-            known = self._belief.changed.get(kind, 0)
-            if not self._belief.is_known(kind):
-                known = -1
-            best = max(
-                self._live,
-                key=lambda one: one.revisions.get(kind.value, -1),
-                default=None,
-            )
-            if best is None:
-                continue
-            revision = best.revisions.get(kind.value, -1)
-            if revision > known:
-                return _Lag(kind, revision), best
-        return None
 
     async def _pull(self, digest: Digest) -> None:
         pool = ConnectionPool(f"{digest.host}:{self._port}")
@@ -210,6 +218,7 @@
             copy = await self._ask(pool, NO_CURSOR, 0.0, PULL_LIMIT_S)
         except (ExchangeError, RecordInvalid) as error:
             _log.warning("No records from %s: %s", digest.name, error)
+            self._distrust(digest)
             return
         finally:
             pool.close()
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -204,6 +204,7 @@
         steps = (
             (self._tell, GOSSIP_S, "gossip"),
             (self._plan, PLAN_S, "plan"),
+            (self._following.catch_up, PLAN_S, "catching up"),
             (self._drive, DRIVE_S, "rollouts"),
             (self._prove, PROVE_S, "proof"),
         )
@@ -241,7 +242,6 @@
         self._repeats.follow_fleet(instances)
         self._prober.follow_fleet(max(instances, len(self.belief.instances)))
         self._following.follow_fleet(self.peers.list_live(now))
-        await self._following.catch_up()
         self._planned_at = read_monotonic()
 
     def _note_lateness(self, now: float) -> None:
--- a/tests/model/test_fleet.py
+++ b/tests/model/test_fleet.py
@@ -1,7 +1,11 @@
 """Whole fleets in virtual time under random troubles."""
 
+from asyncio import create_task
+from asyncio import sleep
+
 import pytest
 
+from gypsummount._edge.feed import Kind
 from tests.model.run import run_seed
 from tests.model.troubles import Troubles
 
@@ -24,3 +28,30 @@
             await Troubles(fleet, operator, random).lose_domain(domain, 1.2)
 
         assert run_seed(seed, script=lose_domain) == []
+
+
+async def send_stream(fleet, span_s):
+    """Let an upstream's entry change ten times a second."""
+    upstream = fleet.upstreams["10.9.0.0:80"]
+    for number in range(int(span_s * 10)):
+        entry = {**upstream.build_entry(), "sequence": 1000 + number}
+        fleet.store.put(Kind.UPSTREAM, upstream.name, entry)
+        await sleep(0.1)
+
+
+class TestFollowing:
+    def test_silent_watches_are_made_up_for_under_a_stream_of_changes(self):
+        """Guards against instances that never catch up in a storm."""
+
+        async def silence_some(fleet, operator, random):
+            # Every watch begins anew just before it goes silent.
+            await send_stream(fleet, 0.2)
+            await sleep(0.2)
+            for machine in list(fleet.machines.values())[1:]:
+                machine.links.silence()
+            streaming = create_task(send_stream(fleet, 6.0))
+            await sleep(1.6)
+            await operator.drain(fleet.upstreams["10.9.0.3:80"])
+            await streaming
+
+        assert run_seed(5, script=silence_some) == []
