Read the store as soon as the reader's word is old, not after the answer

What callers saw: a confirmed change that was not in force after 2.5 s. Cause: a follower compared the age of its proof with 1.8 s only after each question to its reader. A question that nobody answers takes 1.1 s, so a proof could be 2.9 s old before the follower turned to the store. The other way, a peer that is ahead, is shut when the readers of all regions have lost the store. Class: a bound that is the sum of limits, each of which looks short enough. Change: the age is looked at every 0.1 s, whatever is under way. Why it works: the store is read when the proof is 1.9 s old at the latest. Test: model/test_fleet.py TestFollowing, phase 0.2: failed before.

--- a/src/gypsummount/_edge/following.py
+++ b/src/gypsummount/_edge/following.py
@@ -123,9 +123,7 @@
             self.close()
             self._reader = ""
             return
-        age_s = self._belief.proof.find_age(read_monotonic())
-        is_vouched = age_s is not None and age_s <= PROOF_LIMIT_S
-        self._mirror.is_reading = not is_vouched
+        self._mirror.is_reading = not self._is_vouched(read_monotonic())
 
     async def _take_next(self, pool: ConnectionPool) -> None:
         asked_at = read_monotonic()
@@ -160,6 +158,20 @@
         answer = await pool.send(request, limit_s, repeatable=True)
         return decode_copy(answer.body)
 
+    def check_proof(self, now: float) -> None:
+        """Begin to read the store when the reader's word grows old.
+
+        A question to the reader may still be open: it can take longer
+        than a change may be late.
+        """
+        if not self._mirror.is_reading and not self._is_vouched(now):
+            _log.info("The reader's word is old; reading the store.")
+            self._mirror.is_reading = True
+
+    def _is_vouched(self, now: float) -> bool:
+        age_s = self._belief.proof.find_age(now)
+        return age_s is not None and age_s <= PROOF_LIMIT_S
+
     async def catch_up(self) -> None:
         """Fetch a peer's records if it has known of changes for longer.
 
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -242,6 +242,7 @@
         self._repeats.follow_fleet(instances)
         self._prober.follow_fleet(max(instances, len(self.belief.instances)))
         self._following.follow_fleet(self.peers.list_live(now))
+        self._following.check_proof(now)
         self._planned_at = read_monotonic()
 
     def _note_lateness(self, now: float) -> None:
--- a/tests/model/fleet.py
+++ b/tests/model/fleet.py
@@ -35,6 +35,7 @@
 OTHER_REGION_S = 0.035
 STORE_REGION = "central"
 OBJECTS = 150
+KEPT_CONNECTIONS = 5
 PATIENCE_S = 1.5
 
 
@@ -68,7 +69,7 @@
 
     def silence(self):
         self.silenced_at = read_monotonic()
-        self.silent_connections = 2
+        self.silent_connections = KEPT_CONNECTIONS
 
     def take_silent_connection(self):
         if not self.silent_connections:
--- a/tests/model/test_fleet.py
+++ b/tests/model/test_fleet.py
@@ -55,3 +55,21 @@
             await streaming
 
         assert run_seed(5, script=silence_some) == []
+
+    @pytest.mark.parametrize("phase_s", [0.0, 0.2, 0.4, 0.6, 0.8, 1.0])
+    def test_change_is_in_force_though_all_readers_fade(self, phase_s):
+        """Guards against followers that turn to the store too late."""
+
+        async def lose_readers(fleet, operator, random):
+            readers = list(fleet.machines.values())[:3]
+            await sleep(2.0 + phase_s)
+            for machine in readers:
+                machine.links.reaches_store = False
+                machine.links.hears_store = False
+            await sleep(0.01)
+            operator.change_config()
+            await sleep(1.7)
+            for machine in readers:
+                machine.links.reaches_peers = False
+
+        assert run_seed(3, script=lose_readers) == []
