Take the configuration from its own object only

Cause: the name of the object was known to the adapter and used nowhere. Change: other names are left out in the store's client, with a log line. Test: platform/test_program.py, test_other_object_of_its_kind_is_no_configuration; failed before (200 and 401 in place of 401 and 200).

--- a/src/gypsummount/platform/documents.py
+++ b/src/gypsummount/platform/documents.py
@@ -19,7 +19,6 @@
 from gypsummount._edge.feed import Value
 from gypsummount.errors import RecordInvalid
 
-CONFIG_NAME = "main"
 DEFAULT_TIMEOUT_S = 30.0
 DEFAULT_ATTEMPTS = 1
 STATES = ("ready", "draining")
--- a/src/gypsummount/platform/store.py
+++ b/src/gypsummount/platform/store.py
@@ -6,6 +6,7 @@
 from typing import final
 from urllib.parse import quote
 
+from gypsummount._common.logs import get_logger
 from gypsummount._core.catalog import RolloutOrder
 from gypsummount._core.sanitizing import Header
 from gypsummount._edge.feed import Feed
@@ -34,8 +35,11 @@
     Kind.ROLLOUT: "rollouts",
     Kind.INSTANCE: "instances",
 }
+CONFIG_NAME = "main"
 JSON_HEADERS = (Header("Content-Type", "application/json"),)
 
+_log = get_logger("store")
+
 
 @final
 class StoreClient(Feed):
@@ -153,7 +157,11 @@
 def _read_record(
     kind: Kind, raw: object, is_deleted: bool = False
 ) -> Record | None:
-    """Return the record of an object, or None without a name."""
+    """Return the record of an object, or None for one to leave out.
+
+    Those are objects without a name, and objects beside the one that
+    holds the configuration.
+    """
     if not isinstance(raw, dict):
         return None
     metadata = raw.get("metadata")
@@ -163,5 +171,8 @@
     revision = metadata.get("revision")
     if not isinstance(name, str) or not isinstance(revision, int):
         return None
+    if kind is Kind.CATALOG and name != CONFIG_NAME:
+        _log.info("Left out configuration '%s'; it is not in use.", name)
+        return None
     payload = dumps(raw, separators=(",", ":")).encode()
     return Record(kind, name, revision, payload, is_deleted)
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -113,6 +113,16 @@
         new = await instance.call(1, "GET", "/read/x", key="new")
         assert [old.status, new.status] == [401, 200]
 
+    async def test_other_object_of_its_kind_is_no_configuration(
+        self, instance
+    ):
+        """Guards against configurations that came from another object."""
+        instance.store.put("config", "draft", build_config(9, ["draft"]))
+        await sleep(0.5)
+        draft = await instance.call(1, "GET", "/read/x", key="draft")
+        main = await instance.call(1, "GET", "/read/x")
+        assert [draft.status, main.status] == [401, 200]
+
     async def test_keyed_requests_stop_when_no_proof_is_young(self, instance):
         instance.store.is_out = True
         await sleep(1.0)
