Take no record from a peer that was removed before our revision

What callers saw: none seen; an upstream or an evacuation that was gone came back for as long as a newly followed reader lagged. Cause: a removed record left no mark, so a copy of it looked new. Change: what is known of a kind is complete up to its revision; a copied record that is unknown and not newer than that was removed, and is left out. Test: edge/test_copies.py, test_copy_of_a_peer_that_lags_brings_nothing_back; failed before.

--- a/src/gypsummount/_edge/belief.py
+++ b/src/gypsummount/_edge/belief.py
@@ -146,6 +146,8 @@
 
     def _put(self, record: Record, origin: Origin) -> None:
         known = self._records[record.kind].get(record.name)
+        if known is None and self._was_removed(record, origin):
+            return
         if known is not None and known.revision >= record.revision:
             if record.name in self._held:
                 del self._held[record.name]
@@ -188,6 +190,16 @@
         else:
             self.evacuated = self.evacuated | {record.name}
 
+    def _was_removed(self, record: Record, origin: Origin) -> bool:
+        """Tell whether a peer sends a record that is gone meanwhile.
+
+        What is known of a kind is complete up to its revision.
+        """
+        is_copy = origin is Origin.COPY
+        return is_copy and record.revision <= self.revisions.get(
+            record.kind, -1
+        )
+
     def _apply_upstream(self, value: UpstreamRecord) -> None:
         known = self.upstreams.get(value.name)
         if known is not None and self._order.is_outdated(value, known):
--- a/tests/edge/test_copies.py
+++ b/tests/edge/test_copies.py
@@ -109,6 +109,17 @@
         send(reader, follower)
         assert not follower.upstreams["i-1"].is_ready
 
+    def test_copy_of_a_peer_that_lags_brings_nothing_back(
+        self, reader, follower
+    ):
+        """Guards against upstreams that return after their removal."""
+        first = send(reader, follower)
+        change(follower, build_upstream("i-1", 6))
+        change(follower, build_upstream("i-1", 9, is_deleted=True))
+        change(reader, build_upstream("i-1", 6))
+        send(reader, follower, first.cursor)
+        assert follower.upstreams == {}
+
     def test_another_incarnation_gets_a_whole_copy(self, reader, follower):
         change(reader, build_upstream("i-1", 6))
         before = Cursor(INCARNATION - 1, reader.sequence)
