Prove no configuration while the newest one can't be read

What callers saw: none seen; a key that an unreadable configuration took away would have gone on working for ever. Cause: a configuration that can't be decoded left the old one in force, and each later read of the store dated the old one as the newest. Class: an error that is logged and then counted as success. Change: a read proves a configuration only if the newest record is the one in force; a gauge tells of an unreadable one. Test: platform/test_program.py, test_unreadable_configuration_stops_keyed_requests; failed before (200 in place of 503).

--- a/src/gypsummount/_edge/belief.py
+++ b/src/gypsummount/_edge/belief.py
@@ -70,6 +70,13 @@
         """Tell whether the records of a kind were ever listed."""
         return kind in self.revisions
 
+    @property
+    def has_newest_catalog(self) -> bool:
+        """Tell whether the newest configuration could be read."""
+        records = self._records[Kind.CATALOG].values()
+        newest = max((one.revision for one in records), default=0)
+        return newest == self.catalog_revision
+
     @property
     def is_ready(self) -> bool:
         """Tell whether requests can be steered."""
--- a/src/gypsummount/_edge/mirror.py
+++ b/src/gypsummount/_edge/mirror.py
@@ -138,7 +138,7 @@
         listing = await self._feed.list(kind)
         self.contact.note_answer()
         self._belief.take_listing(kind, listing, read_monotonic())
-        if kind is Kind.CATALOG:
+        if kind is Kind.CATALOG and self._belief.has_newest_catalog:
             self._belief.proof.note_read(
                 self._belief.catalog_revision, started_at
             )
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -164,6 +164,9 @@
             "store_connected": float(self._mirror.contact.is_connected),
             "configuration_revision": float(self.belief.catalog_revision),
             "proof_age_seconds": -1.0 if age_s is None else age_s,
+            "configuration_unreadable": float(
+                not self.belief.has_newest_catalog
+            ),
             "upstreams_known": float(len(self.belief.upstreams)),
         }
         return write_exposition(self.metrics, gauges, now)
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -123,6 +123,19 @@
         main = await instance.call(1, "GET", "/read/x")
         assert [draft.status, main.status] == [401, 200]
 
+    async def test_unreadable_configuration_stops_keyed_requests(
+        self, instance
+    ):
+        """Guards against withdrawn keys in a configuration unread here."""
+        instance.store.put("config", "main", {"version": 4})
+        await sleep(0.5)
+        assert (await instance.call(1, "GET", "/read/x")).status == 200
+        await sleep(4.5)
+        assert (await instance.call(1, "GET", "/read/x")).status == 503
+        instance.store.put("config", "main", build_config(5, [KEY]))
+        await sleep(1.5)
+        assert (await instance.call(1, "GET", "/read/x")).status == 200
+
     async def test_keyed_requests_stop_when_no_proof_is_young(self, instance):
         instance.store.is_out = True
         await sleep(1.0)
