Take a connection that ended early for a sign of a restart

What callers saw: a cold upstream flooded after a restart of 0.4 s. Cause: a kept connection that had ended was dropped without a word and the next one opened to the new start; no exchange broke, so nothing was doubted. Change: a connection that was used in the last 3 s and has ended is counted by its pool; the upstream is then doubted like after a broken exchange. Ruled out: connections closed after a long idle time (upstreams do that). Test: model/test_fleet.py, test_restart_too_short_for_an_error_floods_nothing; failed before.

--- a/src/gypsummount/_edge/proxy.py
+++ b/src/gypsummount/_edge/proxy.py
@@ -115,6 +115,7 @@
         now = read_monotonic()
         backend = pick.backend
         left_s = case.deadline - now
+        closed_early = backend.pool.closed_early
         is_sent = False
         try:
             self._check_sendable(case, backend, left_s)
@@ -140,6 +141,8 @@
             case.sends -= not error.sent
             raise
         finally:
+            if backend.pool.closed_early != closed_early:
+                self._selection.note_broken(backend, read_monotonic())
             self._selection.release(backend)
         if is_sent:
             self._note_answer(case, pick, answer, read_monotonic() - now)
--- a/src/gypsummount/_entry/connections.py
+++ b/src/gypsummount/_entry/connections.py
@@ -40,6 +40,8 @@
 MAX_IDLE = 64
 MAX_IDLE_AGE_S = 60.0
 FRESH_S = 1.0
+# Upstreams close connections that were idle for longer than this.
+EARLY_S = 3.0
 REQUEST_ID_HEADER = "X-Request-Id"
 
 
@@ -263,7 +265,11 @@
 
 
 class ConnectionPool:
-    """Idle connections to one upstream, the latest used first."""
+    """Idle connections to one upstream, the latest used first.
+
+    ``closed_early`` counts those that ended though they were in use
+    shortly before: the upstream may have started again.
+    """
 
     __slots__ = (
         "_fresh_s",
@@ -271,6 +277,7 @@
         "_idle",
         "_suspicion",
         "address",
+        "closed_early",
         "opened",
     )
 
@@ -286,6 +293,7 @@
         self._host = address
         self._idle: list[UpstreamConnection] = []
         self.opened = 0
+        self.closed_early = 0
 
     @property
     def idle(self) -> int:
@@ -345,6 +353,8 @@
                 return None
             if connection.is_reusable():
                 return connection
+            if age_s < EARLY_S:
+                self.closed_early += 1
             connection.close()
         return None
 
--- a/tests/entry/test_connections.py
+++ b/tests/entry/test_connections.py
@@ -65,6 +65,7 @@
                 await sleep(0.02)
             pool.close()
             assert upstream.connections == 3
+            assert pool.closed_early == 2
 
     async def test_late_answer_is_not_taken_for_the_next_request(self):
         async def serve_late(reader, writer):
--- a/tests/model/test_fleet.py
+++ b/tests/model/test_fleet.py
@@ -32,6 +32,10 @@
 
         assert run_seed(seed, script=lose_domain) == []
 
+    def test_restart_too_short_for_an_error_floods_nothing(self):
+        """Guards against restarts that only kept connections show."""
+        assert run_seed(2103) == []
+
 
 async def send_stream(fleet, span_s):
     """Let an upstream's entry change ten times a second."""
--- a/tests/model/upstreams.py
+++ b/tests/model/upstreams.py
@@ -180,6 +180,7 @@
         self.address = address
         self._owner = INCARNATION.get()
         self._kept = []
+        self.closed_early = 0
 
     def close(self):
         self._kept.clear()
@@ -207,6 +208,7 @@
             start = self._kept.pop()
             if start == upstream.born or upstream.is_dark:
                 return start
+            self.closed_early += 1
         return None
 
     async def _open(self, upstream, limit_s):
