--- a/tests/entry/test_connections.py
+++ b/tests/entry/test_connections.py
@@ -65,7 +65,24 @@
                 await sleep(0.02)
             pool.close()
             assert upstream.connections == 3
-            assert pool.closed_early == 2
+
+    async def test_kept_connection_that_ended_early_is_counted(self):
+        """Guards against restarts that only kept connections show."""
+
+        async def serve_and_end(reader, writer):
+            head = await read_request(reader)
+            writer.write(build_answer(head, b"whole"))
+            await writer.drain()
+            await sleep(0.05)
+
+        async with ScriptedUpstream(serve_and_end) as upstream:
+            pool = ConnectionPool(upstream.address)
+            await send(pool)
+            assert pool.idle == 1
+            await sleep(0.15)
+            await send(pool)
+            pool.close()
+            assert pool.closed_early == 1
 
     async def test_late_answer_is_not_taken_for_the_next_request(self):
         async def serve_late(reader, writer):
