Let an urgent request displace the last waiting one

What callers saw: urgent requests refused at once while less urgent ones waited. Cause: a full queue refused whoever came, whatever its rank; rank only ordered those inside. Change: the last of those that wait is refused at once if it is less urgent. Test: edge/test_selection.py TestFullQueues; the first of two failed before.

--- a/src/gypsummount/_edge/selection.py
+++ b/src/gypsummount/_edge/selection.py
@@ -5,6 +5,7 @@
 from asyncio import wait
 from dataclasses import dataclass
 from dataclasses import field
+from heapq import heapify
 from heapq import heappop
 from heapq import heappush
 from random import random
@@ -177,10 +178,12 @@
             pick.backend.load.note_start(now)
             return pick
         limit_s = min(need.objective_s * WAIT_PART, deadline - now)
-        is_full = len(view.waiting) >= MAX_WAITING
-        if limit_s <= 0 or is_full or not self._has_any(view, need):
+        if limit_s <= 0 or not self._has_any(view, need):
             raise _build_full(need)
-        return await self._wait(view, need, tried, limit_s)
+        rank = _find_rank(view, need, now)
+        if len(view.waiting) >= MAX_WAITING and not _displace(view, rank):
+            raise _build_full(need)
+        return await self._wait(view, need, tried, rank, limit_s)
 
     def note_unreachable(self, backend: Backend, now: float) -> None:
         """Record that no connection to an upstream could be made."""
@@ -204,13 +207,11 @@
         view: _ServiceView,
         need: Need,
         tried: frozenset[str],
+        rank: int,
         limit_s: float,
     ) -> Pick:
         self._number += 1
         place: Future[Pick] = get_running_loop().create_future()
-        rank = need.rank
-        if read_monotonic() + view.work.first_s > need.due:
-            rank += LATE_RANK
         waiter = _Waiter(rank, self._number, need, tried, place)
         heappush(view.waiting, waiter)
         try:
@@ -402,6 +403,23 @@
                 view.by_region.setdefault(backend.region, []).append(backend)
 
 
+def _find_rank(view: _ServiceView, need: Need, now: float) -> int:
+    """Return the rank of a request, behind all others if it is late."""
+    is_late = now + view.work.first_s > need.due
+    return need.rank + (LATE_RANK if is_late else 0)
+
+
+def _displace(view: _ServiceView, rank: int) -> bool:
+    """Refuse the last waiting request for the sake of a more urgent one."""
+    last = max(view.waiting)
+    if last.rank <= rank:
+        return False
+    view.waiting.remove(last)
+    heapify(view.waiting)
+    last.place.cancel()
+    return True
+
+
 def _build_full(need: Need) -> NoCapacity:
     error = NoCapacity(
         f"no upstream of {need.service} has room; come back later"
--- a/tests/edge/test_selection.py
+++ b/tests/edge/test_selection.py
@@ -15,6 +15,7 @@
 from gypsummount._edge.backends import Need
 from gypsummount._edge.belief import Belief
 from gypsummount._edge.probing import Prober
+from gypsummount._edge.selection import MAX_WAITING
 from gypsummount._edge.selection import MOST_PLACES
 from gypsummount._edge.selection import Selection
 from gypsummount.errors import NoCapacity
@@ -38,8 +39,8 @@
     )
 
 
-def create_need(hashed, *, due=float("inf"), regions=frozenset()):
-    return Need("s", frozenset(), regions, hashed, 1, due, 0.3)
+def create_need(hashed, *, due=float("inf"), regions=frozenset(), rank=1):
+    return Need("s", frozenset(), regions, hashed, rank, due, 0.3)
 
 
 @pytest.fixture
@@ -130,6 +131,45 @@
             await selection.take(create_need(7, due=0.0), frozenset(), 0.0)
 
 
+class TestFullQueues:
+    def fill(self, selection, rank):
+        """Fill all upstreams and the queue; return those that wait."""
+        for backend in selection._backends:
+            backend.load.in_flight = int(SLOTS * MOST_LOAD)
+        return [
+            asyncio.ensure_future(
+                selection.take(
+                    create_need(number, rank=rank), frozenset(), 1e12
+                )
+            )
+            for number in range(MAX_WAITING)
+        ]
+
+    async def test_urgent_request_displaces_the_last_one(self, selection):
+        """Guards against shares of a split that go by the crowd beside it."""
+        waiting = self.fill(selection, rank=2)
+        await asyncio.sleep(0)
+        urgent = asyncio.ensure_future(
+            selection.take(create_need(99, rank=1), frozenset(), 1e12)
+        )
+        await asyncio.sleep(0.01)
+        assert not urgent.done()
+        refused = [one for one in waiting if one.done()]
+        assert refused == [waiting[-1]]
+        with pytest.raises(NoCapacity):
+            await refused[0]
+        for one in (*waiting, urgent):
+            one.cancel()
+
+    async def test_request_of_the_same_rank_is_refused(self, selection):
+        waiting = self.fill(selection, rank=2)
+        await asyncio.sleep(0)
+        with pytest.raises(NoCapacity):
+            await selection.take(create_need(99, rank=2), frozenset(), 1e12)
+        for one in waiting:
+            one.cancel()
+
+
 class TestRegions:
     async def test_home_regions_bind(self, selection):
         pick = await take(selection, create_need(7, regions=frozenset("b")))
