Free the place of a caller that leaves as it comes

What callers saw: refusals by an instance whose upstreams had room. Cause: a request that waits for an upstream was given a place and cancelled in the same turn of the loop; the place was counted and never given back. Test: edge/test_selection.py TestCallersThatLeave; failed before (1 request at an idle upstream for ever).

--- a/src/gypsummount/_edge/selection.py
+++ b/src/gypsummount/_edge/selection.py
@@ -1,5 +1,6 @@
 """Selection of an upstream for each request, and the wait for one."""
 
+from asyncio import CancelledError
 from asyncio import Future
 from asyncio import get_running_loop
 from asyncio import wait
@@ -216,6 +217,9 @@
         heappush(view.waiting, waiter)
         try:
             await wait({place}, timeout=limit_s)
+        except CancelledError:
+            self._give_back(place)
+            raise
         finally:
             if not place.done():
                 place.cancel()
@@ -225,6 +229,11 @@
             raise _build_full(need)
         return place.result()
 
+    def _give_back(self, place: Future[Pick]) -> None:
+        """Free an upstream's place that came as its caller left."""
+        if place.done() and not place.cancelled():
+            self.release(place.result().backend)
+
     def _serve_queue(self, view: _ServiceView, now: float) -> None:
         kept: list[_Waiter] = []
         while view.waiting:
--- a/tests/edge/test_selection.py
+++ b/tests/edge/test_selection.py
@@ -170,6 +170,24 @@
             one.cancel()
 
 
+class TestCallersThatLeave:
+    async def test_place_that_came_too_late_is_given_back(self, selection):
+        """Guards against upstreams that seem full of requests that left."""
+        backends = list(selection._backends)
+        for backend in backends:
+            backend.load.in_flight = int(SLOTS * MOST_LOAD)
+        waiting = asyncio.ensure_future(
+            selection.take(create_need(7), frozenset(), 1e12)
+        )
+        await asyncio.sleep(0)
+        for backend in backends:
+            backend.load.in_flight = 0
+        selection.update()
+        waiting.cancel()
+        await asyncio.wait({waiting})
+        assert [backend.load.in_flight for backend in backends] == [0] * 8
+
+
 class TestRegions:
     async def test_home_regions_bind(self, selection):
         pick = await take(selection, create_need(7, regions=frozenset("b")))
