--- a/tests/core/test_warming.py
+++ b/tests/core/test_warming.py
@@ -58,7 +58,7 @@
         views = {own: (own,) for own in self.FLEET}
         assert self.find_sum(views, self.FLEET, has_heard=False) <= 24.0
 
-    def test_nothing_is_sent_before_the_register_is_read(self):
+    def test_nothing_is_sent_before_the_registry_is_read(self):
         views = {own: (own,) for own in self.FLEET}
         assert self.find_sum(views, (), has_heard=False) == 0.0
 
