Give the waiting requests of a service a module of their own

The queue, its bound, its order and what happens to a place whose caller leaves are one job and know nothing of regions. No behaviour changes; tests/edge pass as they were, but for an import.

--- a/src/gypsummount/_core/lags.py
+++ b/src/gypsummount/_core/lags.py
@@ -8,10 +8,10 @@
     on meanwhile: under a stream of changes they are always ahead.
     """
 
-    __slots__ = ("_since", "target")
+    __slots__ = ("_since", "_target")
 
     def __init__(self) -> None:
-        self.target = -1
+        self._target = -1
         self._since = 0.0
 
     def measure(self, known: int, ahead: int, now: float) -> float:
@@ -20,7 +20,7 @@
         ``known`` is the own revision and ``ahead`` that of the instance
         that knows most.
         """
-        if known >= self.target:
-            self.target = ahead
+        if known >= self._target:
+            self._target = ahead
             self._since = now
-        return now - self._since if self.target > known else 0.0
+        return now - self._since if self._target > known else 0.0
--- a/src/gypsummount/_edge/peers.py
+++ b/src/gypsummount/_edge/peers.py
@@ -18,7 +18,7 @@
 LEAST_FAR = 6
 NAMED_ALONE_S = 5.0
 FORGET_S = 40.0
-# What the register and the first answers of peers take, at least.
+# What reading the registry and the first answers of peers take.
 HEARING_S = 2.0
 LEAVING_S = 6.0
 
--- a/src/gypsummount/_edge/proxy.py
+++ b/src/gypsummount/_edge/proxy.py
@@ -9,8 +9,8 @@
 from gypsummount._edge.backends import Backend
 from gypsummount._edge.belief import Belief
 from gypsummount._edge.repeats import Repeats
-from gypsummount._edge.selection import Pick
 from gypsummount._edge.selection import Selection
+from gypsummount._edge.waiting import Pick
 from gypsummount._edge.wire import Arrival
 from gypsummount._edge.wire import Verdict
 from gypsummount._edge.wire import Wire
--- a/src/gypsummount/_edge/selection.py
+++ b/src/gypsummount/_edge/selection.py
@@ -1,14 +1,7 @@
 """Selection of an upstream for each request, and the wait for one."""
 
-from asyncio import CancelledError
-from asyncio import Future
-from asyncio import get_running_loop
-from asyncio import wait
 from dataclasses import dataclass
 from dataclasses import field
-from heapq import heapify
-from heapq import heappop
-from heapq import heappush
 from random import random
 
 from gypsummount._common.clocks import read_monotonic
@@ -25,9 +18,11 @@
 from gypsummount._edge.backends import Need
 from gypsummount._edge.belief import Belief
 from gypsummount._edge.probing import Prober
+from gypsummount._edge.waiting import Pick
+from gypsummount._edge.waiting import WaitingQueue
+from gypsummount._edge.waiting import Wish
 from gypsummount.errors import NoCapacity
 
-MAX_WAITING = 24
 WAIT_PART = 0.6
 LATE_RANK = 1_000_000
 DEMAND_WEIGHT = 0.3
@@ -43,24 +38,6 @@
 _log = get_logger("selection")
 
 
-@dataclass(slots=True, frozen=True)
-class Pick:
-    """A chosen upstream, its place in the object's order and its load."""
-
-    backend: Backend
-    position: int
-    load: float
-
-
-@dataclass(slots=True, order=True)
-class _Waiter:
-    rank: int
-    number: int
-    need: Need = field(compare=False)
-    tried: frozenset[str] = field(compare=False)
-    place: Future[Pick] = field(compare=False)
-
-
 @dataclass(slots=True, frozen=True)
 class _RankName:
     service: str
@@ -73,8 +50,8 @@
     """Demand, plan, queue and upstreams of one service."""
 
     plan: RegionPlan
+    waiting: WaitingQueue
     by_region: dict[str, list[Backend]] = field(default_factory=dict)
-    waiting: list[_Waiter] = field(default_factory=list)
     asked: int = 0
     demand: float = 0.0
     work: ServiceWork = field(default_factory=ServiceWork)
@@ -181,10 +158,12 @@
         limit_s = min(need.objective_s * WAIT_PART, deadline - now)
         if limit_s <= 0 or not self._has_any(view, need):
             raise _build_full(need)
-        rank = _find_rank(view, need, now)
-        if len(view.waiting) >= MAX_WAITING and not _displace(view, rank):
+        pick = await view.waiting.wait(
+            Wish(need, tried), _find_rank(view, need, now), limit_s
+        )
+        if pick is None:
             raise _build_full(need)
-        return await self._wait(view, need, tried, rank, limit_s)
+        return pick
 
     def note_unreachable(self, backend: Backend, now: float) -> None:
         """Record that no connection to an upstream could be made."""
@@ -200,53 +179,23 @@
         """End an exchange and serve the next waiting request."""
         backend.load.note_end()
         view = self._services.get(backend.record.service)
-        if view is not None and view.waiting:
+        if view is not None:
             self._serve_queue(view, read_monotonic())
 
-    async def _wait(
-        self,
-        view: _ServiceView,
-        need: Need,
-        tried: frozenset[str],
-        rank: int,
-        limit_s: float,
-    ) -> Pick:
-        self._number += 1
-        place: Future[Pick] = get_running_loop().create_future()
-        waiter = _Waiter(rank, self._number, need, tried, place)
-        heappush(view.waiting, waiter)
-        try:
-            await wait({place}, timeout=limit_s)
-        except CancelledError:
-            self._give_back(place)
-            raise
-        finally:
-            if not place.done():
-                place.cancel()
-                view.waiting = [one for one in view.waiting if one != waiter]
-                view.waiting.sort()
-        if place.cancelled():
-            raise _build_full(need)
-        return place.result()
-
-    def _give_back(self, place: Future[Pick]) -> None:
+    def _give_back(self, pick: Pick) -> None:
         """Free an upstream's place that came as its caller left."""
-        if place.done() and not place.cancelled():
-            self.release(place.result().backend)
+        self.release(pick.backend)
 
     def _serve_queue(self, view: _ServiceView, now: float) -> None:
-        kept: list[_Waiter] = []
-        while view.waiting:
-            waiter = heappop(view.waiting)
-            if waiter.place.done():
-                continue
-            pick = self._choose(view, waiter.need, waiter.tried, now)
-            if pick is None:
-                kept.append(waiter)
-                continue
-            pick.backend.load.note_start(now)
-            waiter.place.set_result(pick)
-        view.waiting = kept
+        """Give waiting requests the places that have become free."""
+
+        def choose(wish: Wish) -> Pick | None:
+            pick = self._choose(view, wish.need, wish.tried, now)
+            if pick is not None:
+                pick.backend.load.note_start(now)
+            return pick
+
+        view.waiting.serve(choose)
 
     def _has_any(self, view: _ServiceView, need: Need) -> bool:
         return any(
@@ -406,7 +355,9 @@
             service = backend.record.service
             view = self._services.get(service)
             if view is None:
-                view = _ServiceView(RegionPlan(self._region))
+                view = _ServiceView(
+                    RegionPlan(self._region), WaitingQueue(self._give_back)
+                )
                 self._services[service] = view
             if backend.is_usable:
                 view.by_region.setdefault(backend.region, []).append(backend)
@@ -418,17 +369,6 @@
     return need.rank + (LATE_RANK if is_late else 0)
 
 
-def _displace(view: _ServiceView, rank: int) -> bool:
-    """Refuse the last waiting request for the sake of a more urgent one."""
-    last = max(view.waiting)
-    if last.rank <= rank:
-        return False
-    view.waiting.remove(last)
-    heapify(view.waiting)
-    last.place.cancel()
-    return True
-
-
 def _build_full(need: Need) -> NoCapacity:
     error = NoCapacity(
         f"no upstream of {need.service} has room; come back later"
--- a/tests/edge/test_selection.py
+++ b/tests/edge/test_selection.py
@@ -15,9 +15,9 @@
 from gypsummount._edge.backends import Need
 from gypsummount._edge.belief import Belief
 from gypsummount._edge.probing import Prober
-from gypsummount._edge.selection import MAX_WAITING
 from gypsummount._edge.selection import MOST_PLACES
 from gypsummount._edge.selection import Selection
+from gypsummount._edge.waiting import MAX_WAITING
 from gypsummount.errors import NoCapacity
 
 REGIONS = {"a1": "a", "a2": "a", "b1": "b"}
