Let a health answer change nothing during an evacuation

What callers saw: none seen; found while reading the change before. An answer that came just after an evacuation began would have ended the mark that makes the upstream cold at the evacuation's end. Besides, an unforeseen fault in one question would have ended the task that asks. Test: edge/test_probing.py; the crossing answer failed before (cold until the present moment in place of for ever), a TypeError ended the task.

--- a/src/gypsummount/_edge/probing.py
+++ b/src/gypsummount/_edge/probing.py
@@ -11,6 +11,7 @@
 from gypsummount._edge.belief import Belief
 from gypsummount._edge.wire import Wire
 from gypsummount._entry.connections import ExchangeError
+from gypsummount._entry.connections import UpstreamAnswer
 
 ASK_GAP_S = 1.0
 ANSWER_LIMIT_S = 1.0
@@ -52,6 +53,14 @@
                 group.create_task(self._ask(backend))
 
     async def _ask(self, backend: Backend) -> None:
+        try:
+            await self._ask_later(backend)
+        except ExchangeError as error:
+            _log.info("No word from %s: %s", backend.record.name, error)
+        except Exception:
+            _log.exception("Asking %s failed.", backend.record.name)
+
+    async def _ask_later(self, backend: Backend) -> None:
         spread_s = self._instances / ASKED_PER_S - 1.0
         if spread_s > 0:
             await sleep(random() * spread_s)
@@ -59,16 +68,18 @@
         if not path or not backend.is_usable:
             return
         request = self._wire.build_health_request(path)
-        try:
-            answer = await backend.pool.send(
-                request, ANSWER_LIMIT_S, repeatable=True, new_only=True
-            )
-        except ExchangeError as error:
-            _log.info("No word from %s: %s", backend.record.name, error)
-            return
+        answer = await backend.pool.send(
+            request, ANSWER_LIMIT_S, repeatable=True, new_only=True
+        )
+        self._take_answer(backend, answer)
+
+    def _take_answer(self, backend: Backend, answer: UpstreamAnswer) -> None:
         report = self._wire.read_health(answer)
         if report is None or report.upstream != backend.record.name:
             return
+        # An evacuation that began meanwhile leaves it cold at its end.
+        if not backend.is_usable:
+            return
         backend.load.note_health(read_monotonic(), report.cold_s)
         if report.cold_s > 0:
             _log.info(
--- /dev/null
+++ b/tests/edge/test_probing.py
@@ -0,0 +1,118 @@
+"""Questions to doubted upstreams, and what their answers change."""
+
+from asyncio import create_task
+from asyncio import sleep
+from types import SimpleNamespace
+
+import pytest
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._core.backlog import ColdSign
+from gypsummount._core.backlog import UpstreamLoad
+from gypsummount._core.catalog import EdgeService
+from gypsummount._core.catalog import UpstreamRecord
+from gypsummount._core.sanitizing import Header
+from gypsummount._edge.backends import Backend
+from gypsummount._edge.probing import ASK_GAP_S
+from gypsummount._edge.probing import Prober
+from gypsummount._entry.connections import ExchangeError
+from gypsummount._entry.connections import UpstreamAnswer
+from gypsummount.platform.wire import PlatformWire
+
+SERVICE = EdgeService("s", 3.0, 24.0, "/health")
+
+
+class AnsweringPool:
+    """Gives one answer, or raises one error, to every question."""
+
+    def __init__(self, outcome, before=None):
+        self._outcome = outcome
+        self._before = before
+        self.questions = 0
+
+    async def send(self, request, limit_s, *, repeatable, new_only):
+        self.questions += 1
+        if self._before is not None:
+            self._before()
+        if isinstance(self._outcome, Exception):
+            raise self._outcome
+        return self._outcome
+
+
+def create_answer(upstream="u", cold_ms=0):
+    headers = [
+        Header("Gypsummount-Instance-Id", upstream),
+        Header("Gypsummount-Cold-Milliseconds", str(cold_ms)),
+    ]
+    return UpstreamAnswer(200, "OK", headers, b"")
+
+
+def create_backend(pool):
+    record = UpstreamRecord("u", "s", "10.0.0.1:80", "a1", "v1", 4, True)
+    backend = Backend(UpstreamLoad(record), pool, "a")
+    backend.load.note_doubt(read_monotonic(), 3.0, ColdSign.FIRST_SIGHT)
+    return backend
+
+
+@pytest.fixture
+async def prober():
+    catalog = SimpleNamespace(services={"s": SERVICE})
+    made = Prober(SimpleNamespace(catalog=catalog), PlatformWire())
+    task = create_task(made.run())
+    yield made
+    task.cancel()
+
+
+async def ask(prober, backend, now=None):
+    prober.ask(backend, read_monotonic() if now is None else now)
+    await sleep(0.02)
+
+
+class TestProber:
+    async def test_word_that_it_is_warm_ends_the_doubt(self, prober):
+        backend = create_backend(AnsweringPool(create_answer()))
+        await ask(prober, backend)
+        assert not backend.load.is_cold(read_monotonic())
+
+    async def test_word_that_it_is_cold_counts(self, prober):
+        backend = create_backend(AnsweringPool(create_answer(cold_ms=2000)))
+        await ask(prober, backend)
+        now = read_monotonic()
+        assert backend.load.is_cold(now + 1.9)
+        assert not backend.load.is_cold(now + 2.1)
+
+    async def test_word_of_another_upstream_counts_for_nothing(self, prober):
+        backend = create_backend(AnsweringPool(create_answer("other")))
+        await ask(prober, backend)
+        assert backend.load.is_cold(read_monotonic())
+
+    async def test_word_that_crosses_an_evacuation_counts_for_nothing(
+        self, prober
+    ):
+        """Guards against floods after an evacuation."""
+
+        def evacuate():
+            backend.is_usable = False
+            backend.load.cold_until = float("inf")
+
+        pool = AnsweringPool(create_answer(), evacuate)
+        backend = create_backend(pool)
+        await ask(prober, backend)
+        assert backend.load.cold_until == float("inf")
+
+    async def test_upstream_is_asked_once_in_a_while(self, prober):
+        pool = AnsweringPool(create_answer(cold_ms=2000))
+        backend = create_backend(pool)
+        now = read_monotonic()
+        for step in range(10):
+            await ask(prober, backend, now + step * ASK_GAP_S / 10)
+        assert pool.questions == 1
+
+    @pytest.mark.parametrize(
+        "fault", [ExchangeError("x", sent=True), TypeError("x")]
+    )
+    async def test_it_goes_on_after_any_fault(self, prober, fault):
+        await ask(prober, create_backend(AnsweringPool(fault)))
+        backend = create_backend(AnsweringPool(create_answer()))
+        await ask(prober, backend)
+        assert not backend.load.is_cold(read_monotonic())
