Spread health questions by region; ask about no doubt that has ended

What callers saw: none seen. With 75 instances a question would have been put off by up to 8.4 s, longer than the doubt, so a sign of a restart would have held an instance to its pace, or kept it from the upstream, for 4 s. Change: instances of the upstream's region share 8 questions a second, all others another 8. At 8 instances nothing is put off, before and after. Test: edge/test_probing.py (new interface).

--- a/src/gypsummount/_edge/probing.py
+++ b/src/gypsummount/_edge/probing.py
@@ -15,7 +15,7 @@
 
 ASK_GAP_S = 1.0
 ANSWER_LIMIT_S = 1.0
-# Questions that one upstream gets from the whole fleet.
+# Questions that one upstream gets from its region, and from all others.
 ASKED_PER_S = 8.0
 
 _log = get_logger("probing")
@@ -28,15 +28,18 @@
     the questions are spread out, since they are work for a cold one.
     """
 
-    def __init__(self, belief: Belief, wire: Wire) -> None:
+    def __init__(self, belief: Belief, wire: Wire, region: str) -> None:
         self._belief = belief
         self._wire = wire
-        self._instances = 1
+        self._region = region
+        self._near = 1
+        self._all = 1
         self._wanted: Queue[Backend] = Queue()
 
-    def follow_fleet(self, instances: int) -> None:
-        """Take the number of instances that may ask."""
-        self._instances = instances
+    def follow_fleet(self, near: int, everywhere: int) -> None:
+        """Take how many instances the own region and the fleet have."""
+        self._near = near
+        self._all = everywhere
 
     def ask(self, backend: Backend, now: float) -> None:
         """Ask an upstream soon, unless it was asked lately."""
@@ -61,9 +64,13 @@
             _log.exception("Asking %s failed.", backend.record.name)
 
     async def _ask_later(self, backend: Backend) -> None:
-        spread_s = self._instances / ASKED_PER_S - 1.0
+        is_near = backend.region == self._region
+        asking = self._near if is_near else self._all
+        spread_s = asking / ASKED_PER_S - 1.0
         if spread_s > 0:
             await sleep(random() * spread_s)
+        if not backend.load.is_doubted(read_monotonic()):
+            return
         path = self._find_path(backend)
         if not path or not backend.is_usable:
             return
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -80,7 +80,7 @@
         self._planned_at = self._started_at
         self.belief = Belief(feed, FreshnessProof(limit_s))
         self.peers = Peers(settings.region)
-        self._prober = Prober(self.belief, wire)
+        self._prober = Prober(self.belief, wire, settings.region)
         self._selection = Selection(
             self.belief, settings.region, settings.regions, self._prober
         )
@@ -268,7 +268,8 @@
             len(self.peers.list_known()) + 1, len(self.belief.instances)
         )
         self._repeats.follow_fleet(instances)
-        self._prober.follow_fleet(instances)
+        near = self.peers.count_region(self._settings.region) + 1
+        self._prober.follow_fleet(near, instances)
         self._following.follow_fleet(self.peers.list_live(now))
         self._following.check_proof(now)
         self._planned_at = read_monotonic()
--- a/tests/edge/test_probing.py
+++ b/tests/edge/test_probing.py
@@ -57,7 +57,7 @@
 @pytest.fixture
 async def prober():
     catalog = SimpleNamespace(services={"s": SERVICE})
-    made = Prober(SimpleNamespace(catalog=catalog), PlatformWire())
+    made = Prober(SimpleNamespace(catalog=catalog), PlatformWire(), "a")
     task = create_task(made.run())
     yield made
     task.cancel()
@@ -108,6 +108,22 @@
             await ask(prober, backend, now + step * ASK_GAP_S / 10)
         assert pool.questions == 1
 
+    async def test_large_fleet_spreads_its_questions(self, prober):
+        """Guards against floods of a cold upstream by questions."""
+        prober.follow_fleet(near=400, everywhere=1200)
+        pools = [AnsweringPool(create_answer()) for _ in range(50)]
+        for pool in pools:
+            prober.ask(create_backend(pool), read_monotonic())
+        await sleep(0.1)
+        assert sum(pool.questions for pool in pools) <= 5
+
+    async def test_doubt_that_has_ended_is_asked_about_no_more(self, prober):
+        pool = AnsweringPool(create_answer())
+        backend = create_backend(pool)
+        backend.load.note_health(read_monotonic(), 0.0)
+        await ask(prober, backend)
+        assert pool.questions == 0
+
     @pytest.mark.parametrize(
         "fault", [ExchangeError("x", sent=True), TypeError("x")]
     )
--- a/tests/edge/test_selection.py
+++ b/tests/edge/test_selection.py
@@ -58,7 +58,7 @@
 
 @pytest.fixture
 def selection(belief):
-    made = Selection(belief, "a", REGIONS, Prober(belief, None))
+    made = Selection(belief, "a", REGIONS, Prober(belief, None, "a"))
     made.follow_fleet({}, Warming("n1", {"a": ("n1",)}))
     made.update()
     for backend in made._backends:
