--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -12,6 +12,8 @@
 from tornado.web import RequestHandler
 
 HISTORY = 1000
+# When a server that is "closing" ends a connection after an answer.
+CLOSING_S = 0.05
 
 
 class StoreDouble:
@@ -216,7 +218,10 @@
         self.set_header("Gypsummount-Request-Id", request_id)
         self.set_header("Gypsummount-Server-Stamp", f"stamp-{server.name}")
         self.set_header("Gypsummount-Server-Load", "1,0,4")
-        self.finish(f"{server.name}:{len(self.request.body)}")
+        await self.finish(f"{server.name}:{len(self.request.body)}")
+        if server.behaviour == "closing":
+            await sleep(CLOSING_S)
+            self.request.connection.stream.close()
 
 
 def serve(stack, handler, arguments, patterns, host="127.0.0.1"):
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -15,6 +15,7 @@
 from tests.platform.conftest import KEY
 from tests.platform.standin import build_config
 from tests.platform.standin import build_entry
+from tests.platform.standin import CLOSING_S
 
 # One way to a caller of the deployment whose callers are farthest.
 FAR_CALLER_S = 0.008
@@ -294,6 +295,18 @@
         asked = await self.break_exchanges(instance, 12)
         assert 1 <= asked <= 2 * len(instance.servers)
 
+    async def test_server_that_ends_connections_is_asked(self, instance):
+        """Guards against restarts that only kept connections show."""
+        await self.break_exchanges(instance, 0)
+        before = self.count_questions(instance)
+        for server in instance.servers.values():
+            server.behaviour = "closing"
+        for number in range(4):
+            request_id = f"closing-{number}"
+            await instance.call(1, "GET", "/read/x", request_id=request_id)
+            await sleep(3 * CLOSING_S)
+        assert self.count_questions(instance) > before
+
     async def test_word_of_a_cold_server_is_heard(self, instance):
         for server in instance.servers.values():
             server.cold_ms = 2500
