--- a/src/gypsummount/_entry/connections.py
+++ b/src/gypsummount/_entry/connections.py
@@ -267,8 +267,7 @@
 class ConnectionPool:
     """Idle connections to one upstream, the latest used first.
 
-    ``closed_early`` counts those that ended though they were in use
-    shortly before: the upstream may have started again.
+    ``closed_early`` counts those that ended soon after their last use.
     """
 
     __slots__ = (
