Time the rounds of the loop; tell what requests wait before they are read

A selector that notes when polls begin and end gives both: how long the last rounds worked (round_seconds), and since when what is read now can have waited, at most two rounds (unread_ms in the lines of requests). connections_open counts the callers' connections.

--- a/src/gypsummount/_edge/decisions.py
+++ b/src/gypsummount/_edge/decisions.py
@@ -57,8 +57,13 @@
         self._late = LineBudget(LATE_LINES_PER_S, now)
         self._good = LineBudget(GOOD_LINES_PER_S, now)
 
-    def note_answer(self, case: Case, status: int, held_s: float) -> None:
-        """Log where a request ran and how long that took."""
+    def note_answer(
+        self, case: Case, status: int, unread_s: float, held_s: float
+    ) -> None:
+        """Log where a request ran and how long that took.
+
+        ``unread_s`` is how long it waited before it was read, at most.
+        """
         now = read_monotonic()
         is_late = now > case.need.due
         is_poor = is_late or status >= SERVER_ERROR
@@ -81,6 +86,7 @@
                 "position": send.position if send else None,
                 "load": round(send.load, 1) if send else None,
                 "waited_ms": _to_ms(send.waited_s) if send else None,
+                "unread_ms": _to_ms(unread_s),
                 "held_ms": _to_ms(held_s),
                 "objective_ms": _to_ms(case.need.objective_s),
                 "sends": case.sends,
@@ -90,7 +96,11 @@
         )
 
     def note_refusal(
-        self, arrival: Arrival | None, error: RequestError, held_s: float
+        self,
+        arrival: Arrival | None,
+        error: RequestError,
+        unread_s: float,
+        held_s: float,
     ) -> None:
         """Log why a request was not answered by an upstream."""
         now = read_monotonic()
@@ -107,6 +117,7 @@
                 "code": error.code,
                 "reason": str(error),
                 "outcome": error.outcome.value,
+                "unread_ms": _to_ms(unread_s),
                 "held_ms": _to_ms(held_s),
                 "configuration": self._belief.catalog_revision,
                 "proof_age_s": None if age_s is None else round(age_s, 2),
--- a/src/gypsummount/_edge/front.py
+++ b/src/gypsummount/_edge/front.py
@@ -12,6 +12,7 @@
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.metrics import Metrics
 from gypsummount._common.metrics import Series
+from gypsummount._common.rounds import Rounds
 from gypsummount._common.serving import RequestServer
 from gypsummount._edge.decisions import DecisionLog
 from gypsummount._edge.proxy import Proxy
@@ -38,8 +39,9 @@
         wire: Wire,
         metrics: Metrics,
         decisions: DecisionLog,
+        rounds: Rounds | None = None,
     ) -> None:
-        super().__init__(MAX_BODY_BYTES)
+        super().__init__(MAX_BODY_BYTES, rounds)
         self._proxy = proxy
         self._wire = wire
         self._metrics = metrics
@@ -55,7 +57,9 @@
             self._write_error(request, _build_leaving())
         return self._is_ending
 
-    async def _serve(self, request: HTTPServerRequest) -> None:
+    async def _serve(
+        self, request: HTTPServerRequest, unread_s: float
+    ) -> None:
         started = read_monotonic()
         arrival: Arrival | None = None
         try:
@@ -63,11 +67,11 @@
             outcome = await self._proxy.run(arrival, started)
             answer = outcome.answer
             self._write_answer(request, answer)
-            self._note_answer(outcome, read_monotonic() - started)
+            self._note_answer(outcome, unread_s, read_monotonic() - started)
         except RequestError as error:
             self._write_error(request, error)
             self._decisions.note_refusal(
-                arrival, error, read_monotonic() - started
+                arrival, error, unread_s, read_monotonic() - started
             )
         except StreamClosedError:
             self._metrics.count("callers.lost")
@@ -79,12 +83,15 @@
             error = OutcomeUnknown("an internal fault; look it up")
             self._write_error(request, error)
 
-    def _note_answer(self, outcome: ProxyOutcome, latency_s: float) -> None:
+    def _note_answer(
+        self, outcome: ProxyOutcome, unread_s: float, latency_s: float
+    ) -> None:
         case = outcome.case
         self._metrics.count(f"answers.{outcome.answer.status // 100}xx")
         workspace = case.workspace_name or "open"
         self._metrics.record(Series(workspace, case.route.name), latency_s)
-        self._decisions.note_answer(case, outcome.answer.status, latency_s)
+        status = outcome.answer.status
+        self._decisions.note_answer(case, status, unread_s, latency_s)
 
     def _write_answer(
         self, request: HTTPServerRequest, answer: UpstreamAnswer
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -10,6 +10,7 @@
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.logs import get_logger
 from gypsummount._common.metrics import Metrics
+from gypsummount._common.rounds import Rounds
 from gypsummount._common.sockets import bind_address
 from gypsummount._common.tasks import repeat
 from gypsummount._common.tasks import start_task
@@ -69,7 +70,14 @@
 class EdgeProcess:
     """An edge that serves until it is told to stop."""
 
-    def __init__(self, settings: EdgeSettings, feed: Feed, wire: Wire) -> None:
+    def __init__(
+        self,
+        settings: EdgeSettings,
+        feed: Feed,
+        wire: Wire,
+        rounds: Rounds | None = None,
+    ) -> None:
+        self._rounds = rounds or Rounds()
         self._settings = settings
         self._feed = feed
         self._life = Machine("lifecycle")
@@ -119,6 +127,7 @@
             wire,
             self.metrics,
             DecisionLog(self.belief, self.metrics),
+            self._rounds,
         )
 
     @property
@@ -164,6 +173,8 @@
         age_s = self.belief.proof.find_age(now)
         gauges = {
             "in_flight": float(self.front.in_flight),
+            "connections_open": float(self.front.connections),
+            "round_seconds": self._rounds.span_s,
             "peers_live": float(len(self.peers.list_live(now))),
             "store_connected": float(self._mirror.contact.is_connected),
             "configuration_revision": float(self.belief.catalog_revision),
@@ -285,7 +296,11 @@
             _log.warning(
                 "The process was late by %.2f s.",
                 late_s,
-                extra={"in_flight": self.front.in_flight},
+                extra={
+                    "in_flight": self.front.in_flight,
+                    "connections": self.front.connections,
+                    "round_ms": round(self._rounds.span_s * MS_PER_S, 1),
+                },
             )
 
     def _check_isolation(self, now: float) -> None:
--- a/src/gypsummount/_entry/front.py
+++ b/src/gypsummount/_entry/front.py
@@ -132,7 +132,9 @@
             }
         ).encode()
 
-    async def _serve(self, request: HTTPServerRequest) -> None:
+    async def _serve(
+        self, request: HTTPServerRequest, unread_s: float
+    ) -> None:
         started = read_monotonic()
         steered: SteeredRequest | None = None
         try:
--- a/src/gypsummount/platform/__main__.py
+++ b/src/gypsummount/platform/__main__.py
@@ -1,11 +1,13 @@
 """The program that the platform starts on each instance."""
 
-from asyncio import run
+from asyncio import Runner
 from contextlib import AsyncExitStack
 import sys
 
 from gypsummount._common.logs import configure_logs
 from gypsummount._common.logs import get_logger
+from gypsummount._common.rounds import create_loop
+from gypsummount._common.rounds import Rounds
 from gypsummount._common.signals import on_reload
 from gypsummount._common.signals import on_stop
 from gypsummount._common.streams import LossyStream
@@ -25,12 +27,15 @@
 _log = get_logger("program")
 
 
-async def serve() -> None:
-    """Serve until the platform asks the process to end."""
+async def serve(rounds: Rounds) -> None:
+    """Serve until the platform asks the process to end.
+
+    ``rounds`` times the loop that this runs on.
+    """
     path = find_path()
     settings = read_settings(path)
     feed = StoreClient(settings.store)
-    process = EdgeProcess(settings.edge, feed, PlatformWire())
+    process = EdgeProcess(settings.edge, feed, PlatformWire(), rounds)
     on_stop(process.stop)
     reloader = Reloader(path, process)
     on_reload(reloader.reload)
@@ -45,8 +50,10 @@
 def main() -> int:
     """Run the program and return its exit code."""
     configure_logs("info", "edge", stream=LossyStream(sys.stdout.fileno()))
+    rounds = Rounds()
     try:
-        run(serve())
+        with Runner(loop_factory=lambda: create_loop(rounds)) as runner:
+            runner.run(serve(rounds))
     except SettingError as error:
         _log.error("Not started: %s", error)
         return USAGE_EXIT
--- a/tests/edge/test_decisions.py
+++ b/tests/edge/test_decisions.py
@@ -32,7 +32,7 @@
 
 class TestLateAnswers:
     def test_line_tells_where_and_after_what_wait_it_ran(self, log, caplog):
-        log.note_answer(build_case(due_s=-0.1), 200, 0.4)
+        log.note_answer(build_case(due_s=-0.1), 200, 0.02, 0.4)
         line = caplog.records[-1]
         assert "late" in line.getMessage()
         assert (line.request, line.upstream, line.position) == (
@@ -41,17 +41,18 @@
             1,
         )
         assert (line.waited_ms, line.held_ms) == (50.0, 400.0)
+        assert line.unread_ms == 20.0
 
     def test_good_answers_take_no_lines_of_late_ones(self, log, caplog):
         for _ in range(500):
-            log.note_answer(build_case(due_s=1.0), 200, 0.1)
+            log.note_answer(build_case(due_s=1.0), 200, 0.02, 0.1)
         assert len(caplog.records) <= GOOD_LINES_PER_S * BURST_S + 1
-        log.note_answer(build_case(due_s=-0.1), 200, 0.4)
+        log.note_answer(build_case(due_s=-0.1), 200, 0.02, 0.4)
         assert "late" in caplog.records[-1].getMessage()
 
     def test_volume_is_bounded_and_the_rest_is_counted(self, log, caplog):
         for _ in range(500):
-            log.note_answer(build_case(due_s=-0.1), 200, 0.4)
+            log.note_answer(build_case(due_s=-0.1), 200, 0.02, 0.4)
         written = len(caplog.records)
         assert written <= LATE_LINES_PER_S * BURST_S + 5
         assert log._metrics.read_counts()["log_lines.left_out"] == (
