Drop requests whose callers closed before anyone listened

Class: an event that is told to whom listens at that moment, in place of a state that can be asked. Change: the kernel is asked (POLLRDHUP): when a request is handed on, and for all that are under way ten times a second. Both programs share it. Why it works: the state of the far end is known to the kernel whatever is unread and whoever listens.

--- a/src/gypsummount/_common/serving.py
+++ b/src/gypsummount/_common/serving.py
@@ -3,16 +3,20 @@
 from abc import ABC
 from abc import abstractmethod
 from asyncio import create_task
+from asyncio import sleep
 from asyncio import Task
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPServerRequest
 from tornado.iostream import IOStream
 
+from gypsummount._common.callers import Caller
+from gypsummount._common.callers import find_left
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.rounds import Rounds
 
 IDLE_LIMIT_S = 75
+WATCH_S = 0.1
 
 
 class _Listener(HTTPServer):
@@ -32,13 +36,18 @@
 
 
 class RequestServer(ABC):
-    """Runs a task a request; a caller that leaves cancels its task."""
+    """Runs a task a request; a caller that leaves cancels its task.
+
+    ``left_unread`` counts callers that left before their request was
+    read.
+    """
 
     def __init__(
         self, max_body_bytes: int, rounds: Rounds | None = None
     ) -> None:
         self._rounds = rounds or Rounds()
-        self._tasks: set[Task[None]] = set()
+        self._running: dict[Task[None], IOStream] = {}
+        self.left_unread = 0
         self._server = _Listener(
             self._receive,
             max_body_size=max_body_bytes,
@@ -49,7 +58,7 @@
     @property
     def in_flight(self) -> int:
         """Return the number of requests under way."""
-        return len(self._tasks)
+        return len(self._running)
 
     @property
     def connections(self) -> int:
@@ -67,17 +76,37 @@
     async def close(self) -> None:
         """Drop all connections."""
         self._server.stop()
-        for task in list(self._tasks):
+        for task in list(self._running):
             task.cancel()
         await self._server.close_all_connections()
 
+    async def watch(self) -> None:
+        """Look for callers that have left, again and again."""
+        while True:
+            await sleep(WATCH_S)
+            self.drop_left()
+
+    def drop_left(self) -> None:
+        """End the requests whose callers have left unnoticed.
+
+        The event loop reports a close only after the bytes before it
+        are read, and nothing reads a further request meanwhile.
+        """
+        for stream in find_left(self._running.values()):
+            stream.close()
+
     def _receive(self, request: HTTPServerRequest) -> None:
+        stream = request.connection.stream
+        if Caller(stream).has_left():
+            self.left_unread += 1
+            stream.close()
+            return
         if self._answer_at_once(request):
             return
         unread_s = self._rounds.find_unread(read_monotonic())
         task = create_task(self._serve(request, unread_s))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._running[task] = stream
+        task.add_done_callback(self._running.pop)
         request.connection.set_close_callback(task.cancel)
 
     @abstractmethod
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -173,6 +173,7 @@
         age_s = self.belief.proof.find_age(now)
         gauges = {
             "in_flight": float(self.front.in_flight),
+            "callers_left_unread": float(self.front.left_unread),
             "connections_open": float(self.front.connections),
             "round_seconds": self._rounds.span_s,
             "peers_live": float(len(self.peers.list_live(now))),
@@ -229,6 +230,7 @@
         for step, period_s, name in steps:
             start_task(stack, repeat(step, period_s, name), name)
         start_task(stack, self._register(), "register")
+        start_task(stack, self.front.watch(), "callers")
 
     async def _leave(self) -> None:
         """Serve on while callers still come, within the grace time."""
--- a/src/gypsummount/_entry/process.py
+++ b/src/gypsummount/_entry/process.py
@@ -171,6 +171,7 @@
         await start_server(stack, server)
         self.front.listen(sockets)
         stack.push_async_callback(self.front.close)
+        start_task(stack, self.front.watch(), "callers")
         start_task(stack, self._link.follow(), "link")
         start_task(
             stack,
