--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -7,7 +7,7 @@
 from gypsummount._common.sockets import bind_address
 from gypsummount._core.sanitizing import Header
 from gypsummount._entry.connections import ConnectionPool
-from gypsummount._entry.connections import UpstreamRequest
+from gypsummount._entry.exchanges import UpstreamRequest
 from gypsummount._standin.http import Reply
 from gypsummount._standin.http import TinyServer
 
--- a/benchmarks/test_edge.py
+++ b/benchmarks/test_edge.py
@@ -10,7 +10,7 @@
 
 from gypsummount._core.sanitizing import Header
 from gypsummount._entry.connections import ConnectionPool
-from gypsummount._entry.connections import UpstreamRequest
+from gypsummount._entry.exchanges import UpstreamRequest
 from tests.platform.conftest import deployment  # noqa: F401
 from tests.platform.conftest import KEY
 
--- a/benchmarks/test_paths.py
+++ b/benchmarks/test_paths.py
@@ -14,7 +14,7 @@
 from gypsummount._core.sanitizing import Header
 from gypsummount._demo.fleet import Ports
 from gypsummount._entry.connections import ConnectionPool
-from gypsummount._entry.connections import UpstreamRequest
+from gypsummount._entry.exchanges import UpstreamRequest
 from gypsummount._proto import peer_pb2
 from gypsummount._standin.http import Reply
 from gypsummount._standin.http import TinyServer
--- a/src/gypsummount/_edge/following.py
+++ b/src/gypsummount/_edge/following.py
@@ -21,8 +21,8 @@
 from gypsummount._edge.mirror import Mirror
 from gypsummount._edge.sharing import RECORDS_PATH
 from gypsummount._entry.connections import ConnectionPool
-from gypsummount._entry.connections import ExchangeError
-from gypsummount._entry.connections import UpstreamRequest
+from gypsummount._entry.exchanges import ExchangeError
+from gypsummount._entry.exchanges import UpstreamRequest
 from gypsummount.errors import RecordInvalid
 
 WAIT_S = 0.6
--- a/src/gypsummount/_edge/front.py
+++ b/src/gypsummount/_edge/front.py
@@ -19,7 +19,7 @@
 from gypsummount._edge.proxy import ProxyOutcome
 from gypsummount._edge.wire import Arrival
 from gypsummount._edge.wire import Wire
-from gypsummount._entry.connections import UpstreamAnswer
+from gypsummount._entry.exchanges import UpstreamAnswer
 from gypsummount.errors import NotReady
 from gypsummount.errors import OutcomeUnknown
 from gypsummount.errors import RequestError
--- a/src/gypsummount/_edge/probing.py
+++ b/src/gypsummount/_edge/probing.py
@@ -10,8 +10,8 @@
 from gypsummount._edge.backends import Backend
 from gypsummount._edge.belief import Belief
 from gypsummount._edge.wire import Wire
-from gypsummount._entry.connections import ExchangeError
-from gypsummount._entry.connections import UpstreamAnswer
+from gypsummount._entry.exchanges import ExchangeError
+from gypsummount._entry.exchanges import UpstreamAnswer
 
 ASK_GAP_S = 0.5
 ANSWER_LIMIT_S = 1.0
--- a/src/gypsummount/_edge/proxy.py
+++ b/src/gypsummount/_edge/proxy.py
@@ -14,9 +14,9 @@
 from gypsummount._edge.wire import Arrival
 from gypsummount._edge.wire import Verdict
 from gypsummount._edge.wire import Wire
-from gypsummount._entry.connections import ExchangeError
-from gypsummount._entry.connections import ExchangeTimeout
-from gypsummount._entry.connections import UpstreamAnswer
+from gypsummount._entry.exchanges import ExchangeError
+from gypsummount._entry.exchanges import ExchangeTimeout
+from gypsummount._entry.exchanges import UpstreamAnswer
 from gypsummount.errors import NoCapacity
 from gypsummount.errors import OutcomeUnknown
 from gypsummount.errors import UpstreamFailed
--- a/src/gypsummount/_edge/wire.py
+++ b/src/gypsummount/_edge/wire.py
@@ -7,8 +7,8 @@
 from tornado.httputil import HTTPServerRequest
 
 from gypsummount._core.sanitizing import Header
-from gypsummount._entry.connections import UpstreamAnswer
-from gypsummount._entry.connections import UpstreamRequest
+from gypsummount._entry.exchanges import UpstreamAnswer
+from gypsummount._entry.exchanges import UpstreamRequest
 from gypsummount.errors import RequestError
 
 
--- a/src/gypsummount/_entry/connections.py
+++ b/src/gypsummount/_entry/connections.py
@@ -6,8 +6,6 @@
 from socket import AF_INET
 from socket import AF_INET6
 from socket import IPPROTO_TCP
-from socket import MSG_DONTWAIT
-from socket import MSG_PEEK
 from socket import SO_KEEPALIVE
 from socket import socket
 from socket import SOL_SOCKET
@@ -17,240 +15,27 @@
 from socket import TCP_NODELAY
 from socket import TCP_USER_TIMEOUT
 
-from tornado.http1connection import HTTP1Connection
-from tornado.http1connection import HTTP1ConnectionParameters
-from tornado.httputil import HTTPHeaders
-from tornado.httputil import HTTPInputError
-from tornado.httputil import HTTPMessageDelegate
-from tornado.httputil import RequestStartLine
-from tornado.httputil import ResponseStartLine
 from tornado.iostream import IOStream
 from tornado.iostream import StreamClosedError
 
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.sockets import split_address
-from gypsummount._core.sanitizing import Header
-from gypsummount.errors import GypsummountError
+from gypsummount._entry.exchanges import ExchangeError
+from gypsummount._entry.exchanges import ExchangeTimeout
+from gypsummount._entry.exchanges import MAX_ANSWER_BYTES
+from gypsummount._entry.exchanges import UpstreamAnswer
+from gypsummount._entry.exchanges import UpstreamConnection
+from gypsummount._entry.exchanges import UpstreamRequest
 
 CONNECT_LIMIT_S = 1.0
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_COUNT = 2
 UNACKED_LIMIT_MS = 2000
-MAX_ANSWER_BYTES = 32 * 1024 * 1024
 MAX_IDLE = 64
 MAX_IDLE_AGE_S = 60.0
 FRESH_S = 1.0
 # Upstreams close connections that were idle for longer than this.
 EARLY_S = 3.0
-REQUEST_ID_HEADER = "X-Request-Id"
-
-
-class ExchangeError(GypsummountError):
-    """An exchange with an upstream failed.
-
-    ``sent`` tells whether a byte of the request may have left.
-    """
-
-    code = "exchange_failed"
-
-    def __init__(self, message: str, *, sent: bool) -> None:
-        super().__init__(message)
-        self.sent = sent
-
-
-class ExchangeTimeout(ExchangeError):
-    """No complete answer came within the time limit."""
-
-    code = "exchange_timeout"
-
-
-@dataclass(slots=True, frozen=True)
-class UpstreamRequest:
-    """What is written to an upstream.
-
-    ``id_header`` carries the request's id, which the upstream echoes;
-    ``host`` is sent as it came from the caller, or else the address.
-    """
-
-    method: str
-    target: str
-    headers: tuple[Header, ...]
-    body: bytes
-    request_id: str
-    id_header: str = REQUEST_ID_HEADER
-    host: str = ""
-    takes_unframed: bool = False
-
-
-@dataclass(slots=True)
-class UpstreamAnswer:
-    """A complete answer of an upstream."""
-
-    status: int
-    reason: str
-    headers: list[Header]
-    body: bytes
-
-
-class _AnswerReader(HTTPMessageDelegate):
-    """Collects one answer and notes whether it is complete."""
-
-    def __init__(self) -> None:
-        self.line: ResponseStartLine | None = None
-        self.headers = HTTPHeaders()
-        self.chunks: list[bytes] = []
-        self.is_complete = False
-
-    def headers_received(
-        self, start_line: ResponseStartLine, headers: HTTPHeaders
-    ) -> None:
-        self.line = start_line
-        self.headers = headers
-
-    def data_received(self, chunk: bytes) -> None:
-        self.chunks.append(chunk)
-
-    def finish(self) -> None:
-        self.is_complete = True
-
-    @property
-    def is_framed(self) -> bool:
-        """Tell whether the end of the body can be told from a cut."""
-        if self.line is None or self.line.code in (204, 304):
-            return True
-        chunked = "chunked" in self.headers.get("Transfer-Encoding", "")
-        return chunked or "Content-Length" in self.headers
-
-    @property
-    def keeps_alive(self) -> bool:
-        """Tell whether the upstream keeps the connection open."""
-        if self.line is None or self.line.version != "HTTP/1.1":
-            return False
-        if not self.is_framed:
-            return False
-        return self.headers.get("Connection", "").lower() != "close"
-
-
-class UpstreamConnection:
-    """One connection; carries one exchange at a time."""
-
-    __slots__ = ("_stream", "exchanges", "used_at")
-
-    def __init__(self, stream: IOStream, now: float) -> None:
-        self._stream = stream
-        self.exchanges = 0
-        self.used_at = now
-
-    def close(self) -> None:
-        """Close the connection; the upstream sees a cancellation."""
-        self._stream.close()
-
-    def is_reusable(self) -> bool:
-        """Tell whether nothing arrived since the last exchange."""
-        if self._stream.closed():
-            return False
-        # Tornado has no public view of bytes that were read ahead.
-        if self._stream._read_buffer_size:
-            return False
-        try:
-            self._stream.socket.recv(1, MSG_PEEK | MSG_DONTWAIT)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
-
-    async def exchange(
-        self, request: UpstreamRequest, host: str, limit_s: float
-    ) -> UpstreamAnswer:
-        """Send a request and return its complete answer.
-
-        The connection is closed unless the exchange was clean.
-
-        :raises ExchangeError: when the answer is cut, malformed or
-            belongs to another request.
-        """
-        is_clean = False
-        reader = _AnswerReader()
-        try:
-            await wait_for(self._talk(request, host, reader), limit_s)
-            answer = self._build_answer(request, reader)
-            is_clean = reader.keeps_alive and not self._stream.writing()
-        except TimeoutError:
-            raise ExchangeTimeout(
-                f"{host} gave no complete answer in {limit_s:.3f} s; "
-                "look at its health",
-                sent=True,
-            ) from None
-        except (OSError, HTTPInputError, StreamClosedError) as error:
-            raise ExchangeError(
-                f"the exchange with {host} broke ({error}); "
-                "look at its health",
-                sent=True,
-            ) from None
-        finally:
-            self.exchanges += 1
-            self.used_at = read_monotonic()
-            if not is_clean:
-                self.close()
-        return answer
-
-    def _build_answer(
-        self, request: UpstreamRequest, reader: _AnswerReader
-    ) -> UpstreamAnswer:
-        if reader.line is None or not reader.is_complete:
-            raise ExchangeError(
-                "the answer was cut short; look at the upstream", sent=True
-            )
-        if not reader.is_framed and request.method != "HEAD":
-            self._check_unframed(request)
-        echoed = reader.headers.get(request.id_header)
-        if echoed and echoed != request.request_id:
-            raise ExchangeError(
-                "the answer belongs to another request; look at the upstream",
-                sent=True,
-            )
-        headers = [
-            Header(name, value) for name, value in reader.headers.get_all()
-        ]
-        return UpstreamAnswer(
-            reader.line.code,
-            reader.line.reason,
-            headers,
-            b"".join(reader.chunks),
-        )
-
-    def _check_unframed(self, request: UpstreamRequest) -> None:
-        """Refuse a body without a length, unless its end is certain."""
-        if request.takes_unframed and self._stream.error is None:
-            return
-        raise ExchangeError(
-            "the answer has no length, so a cut cannot be told; let the "
-            "upstream send Content-Length or chunks",
-            sent=True,
-        )
-
-    async def _talk(
-        self, request: UpstreamRequest, host: str, reader: _AnswerReader
-    ) -> None:
-        parameters = HTTP1ConnectionParameters(max_body_size=MAX_ANSWER_BYTES)
-        connection = HTTP1Connection(self._stream, True, parameters)
-        headers = _build_headers(request, request.host or host)
-        line = RequestStartLine(request.method, request.target, "HTTP/1.1")
-        connection.write_headers(line, headers, request.body or None)
-        connection.finish()
-        await connection.read_response(reader)
-
-
-def _build_headers(request: UpstreamRequest, host: str) -> HTTPHeaders:
-    headers = HTTPHeaders()
-    headers.add("Host", host)
-    for line in request.headers:
-        headers.add(line.name, line.value)
-    if request.body or request.method in ("POST", "PUT", "PATCH"):
-        headers["Content-Length"] = str(len(request.body))
-    headers[request.id_header] = request.request_id
-    return headers
 
 
 @dataclass(slots=True)
--- a/src/gypsummount/_entry/front.py
+++ b/src/gypsummount/_entry/front.py
@@ -22,7 +22,7 @@
 from gypsummount._core.outcomes import StoredAnswer
 from gypsummount._entry.arrivals import ArrivalReader
 from gypsummount._entry.arrivals import IDEMPOTENCY_HEADER
-from gypsummount._entry.connections import REQUEST_ID_HEADER
+from gypsummount._entry.exchanges import REQUEST_ID_HEADER
 from gypsummount._entry.homes import Homes
 from gypsummount._entry.requests import SteeredRequest
 from gypsummount._entry.snapshot import Snapshot
--- a/src/gypsummount/_entry/upstreams.py
+++ b/src/gypsummount/_entry/upstreams.py
@@ -14,10 +14,10 @@
 from gypsummount._core.retries import RetryBudget
 from gypsummount._core.sanitizing import clean_answer_headers
 from gypsummount._core.sanitizing import Header
-from gypsummount._entry.connections import ExchangeError
-from gypsummount._entry.connections import ExchangeTimeout
-from gypsummount._entry.connections import UpstreamAnswer
-from gypsummount._entry.connections import UpstreamRequest
+from gypsummount._entry.exchanges import ExchangeError
+from gypsummount._entry.exchanges import ExchangeTimeout
+from gypsummount._entry.exchanges import UpstreamAnswer
+from gypsummount._entry.exchanges import UpstreamRequest
 from gypsummount._entry.requests import SteeredRequest
 from gypsummount._entry.selection import GroupName
 from gypsummount._entry.selection import Selection
--- a/src/gypsummount/_load/caller.py
+++ b/src/gypsummount/_load/caller.py
@@ -9,9 +9,9 @@
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._core.sanitizing import Header
 from gypsummount._entry.connections import ConnectionPool
-from gypsummount._entry.connections import ExchangeError
-from gypsummount._entry.connections import UpstreamAnswer
-from gypsummount._entry.connections import UpstreamRequest
+from gypsummount._entry.exchanges import ExchangeError
+from gypsummount._entry.exchanges import UpstreamAnswer
+from gypsummount._entry.exchanges import UpstreamRequest
 
 LOOKUP_LIMIT_S = 2.0
 OUTCOME_HEADER = "gypsummount-outcome"
--- a/src/gypsummount/platform/store.py
+++ b/src/gypsummount/platform/store.py
@@ -17,9 +17,9 @@
 from gypsummount._edge.feed import Record
 from gypsummount._edge.feed import Value
 from gypsummount._entry.connections import ConnectionPool
-from gypsummount._entry.connections import ExchangeError
-from gypsummount._entry.connections import UpstreamAnswer
-from gypsummount._entry.connections import UpstreamRequest
+from gypsummount._entry.exchanges import ExchangeError
+from gypsummount._entry.exchanges import UpstreamAnswer
+from gypsummount._entry.exchanges import UpstreamRequest
 from gypsummount.errors import HistoryGone
 from gypsummount.errors import StoreConflict
 from gypsummount.errors import StoreUnavailable
--- a/src/gypsummount/platform/wire.py
+++ b/src/gypsummount/platform/wire.py
@@ -12,8 +12,8 @@
 from gypsummount._edge.wire import LoadReport
 from gypsummount._edge.wire import Verdict
 from gypsummount._edge.wire import Wire
-from gypsummount._entry.connections import UpstreamAnswer
-from gypsummount._entry.connections import UpstreamRequest
+from gypsummount._entry.exchanges import UpstreamAnswer
+from gypsummount._entry.exchanges import UpstreamRequest
 from gypsummount.errors import KeyRefused
 from gypsummount.errors import RequestError
 
--- a/tests/edge/test_front.py
+++ b/tests/edge/test_front.py
@@ -15,8 +15,8 @@
 from gypsummount._edge.front import EdgeFront
 from gypsummount._edge.proxy import ProxyOutcome
 from gypsummount._entry.connections import ConnectionPool
-from gypsummount._entry.connections import UpstreamAnswer
-from gypsummount._entry.connections import UpstreamRequest
+from gypsummount._entry.exchanges import UpstreamAnswer
+from gypsummount._entry.exchanges import UpstreamRequest
 from gypsummount.platform.wire import PlatformWire
 
 
--- a/tests/edge/test_probing.py
+++ b/tests/edge/test_probing.py
@@ -15,8 +15,8 @@
 from gypsummount._edge.backends import Backend
 from gypsummount._edge.probing import ASK_GAP_S
 from gypsummount._edge.probing import Prober
-from gypsummount._entry.connections import ExchangeError
-from gypsummount._entry.connections import UpstreamAnswer
+from gypsummount._entry.exchanges import ExchangeError
+from gypsummount._entry.exchanges import UpstreamAnswer
 from gypsummount.platform.wire import PlatformWire
 
 SERVICE = EdgeService("s", 3.0, 24.0, "/health")
--- a/tests/entry/test_connections.py
+++ b/tests/entry/test_connections.py
@@ -7,10 +7,10 @@
 import pytest
 
 from gypsummount._entry.connections import ConnectionPool
-from gypsummount._entry.connections import ExchangeError
-from gypsummount._entry.connections import ExchangeTimeout
 from gypsummount._entry.connections import FRESH_S
-from gypsummount._entry.connections import UpstreamRequest
+from gypsummount._entry.exchanges import ExchangeError
+from gypsummount._entry.exchanges import ExchangeTimeout
+from gypsummount._entry.exchanges import UpstreamRequest
 from tests.entry.wires import build_answer
 from tests.entry.wires import read_request
 from tests.entry.wires import ScriptedUpstream
--- a/tests/model/fleet.py
+++ b/tests/model/fleet.py
@@ -20,9 +20,9 @@
 from gypsummount._edge.settings import EdgeBounds
 from gypsummount._edge.settings import EdgeSettings
 from gypsummount._edge.wire import Arrival
-from gypsummount._entry.connections import ExchangeError
-from gypsummount._entry.connections import ExchangeTimeout
-from gypsummount._entry.connections import UpstreamAnswer
+from gypsummount._entry.exchanges import ExchangeError
+from gypsummount._entry.exchanges import ExchangeTimeout
+from gypsummount._entry.exchanges import UpstreamAnswer
 from gypsummount.errors import RequestError
 from gypsummount.platform.wire import PlatformWire
 from tests.model.clock import INCARNATION
--- a/tests/model/upstreams.py
+++ b/tests/model/upstreams.py
@@ -9,9 +9,9 @@
 
 from gypsummount._core.sanitizing import Header
 from gypsummount._edge.feed import Kind
-from gypsummount._entry.connections import ExchangeError
-from gypsummount._entry.connections import ExchangeTimeout
-from gypsummount._entry.connections import UpstreamAnswer
+from gypsummount._entry.exchanges import ExchangeError
+from gypsummount._entry.exchanges import ExchangeTimeout
+from gypsummount._entry.exchanges import UpstreamAnswer
 from gypsummount.platform.wire import EXPECTED
 from tests.model.clock import INCARNATION
 
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -13,8 +13,8 @@
 
 from gypsummount._core.sanitizing import Header
 from gypsummount._entry.connections import ConnectionPool
-from gypsummount._entry.connections import ExchangeError
-from gypsummount._entry.connections import UpstreamRequest
+from gypsummount._entry.exchanges import ExchangeError
+from gypsummount._entry.exchanges import UpstreamRequest
 from tests.platform.standin import build_config
 from tests.platform.standin import build_entry
 from tests.platform.standin import serve_server
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -13,7 +13,7 @@
 from gypsummount._edge.digests import ECHO_FORMAT
 from gypsummount._edge.feed import Kind
 from gypsummount._edge.feed import Record
-from gypsummount._entry.connections import UpstreamAnswer
+from gypsummount._entry.exchanges import UpstreamAnswer
 from gypsummount.errors import RecordInvalid
 from gypsummount.platform.documents import decode_record
 from gypsummount.platform.wire import PlatformWire
