Look at caller and time when a request is sent, not when it is placed

Class: a check whose result is used later than it holds. Change: the pool builds a request when it has a connection. Caller, key, usability and time are looked at in that moment, without a wait before the bytes are written; the exchange runs in the task of the request. Why it works: nothing can happen between the look and the write. Tests: edge/test_sends.py; before, the pool took a finished request and Admission.check_again sent for a caller that had left.

--- a/src/gypsummount/_edge/admission.py
+++ b/src/gypsummount/_edge/admission.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from dataclasses import replace
 
+from gypsummount._common.callers import Caller
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._core.canaries import Canary
 from gypsummount._core.catalog import Catalog
@@ -18,6 +19,7 @@
 from gypsummount._edge.belief import Belief
 from gypsummount._edge.rollouts import Rollouts
 from gypsummount._edge.wire import Arrival
+from gypsummount.errors import CallerLeft
 from gypsummount.errors import KeyMissing
 from gypsummount.errors import KeyRefused
 from gypsummount.errors import KeyStale
@@ -54,6 +56,7 @@
     """A request under way with what was decided about it."""
 
     arrival: Arrival
+    caller: Caller
     route: EdgeRoute
     workspace: EdgeWorkspace | None
     started: float
@@ -85,7 +88,7 @@
         self._turns = WeightedTurns()
         self._patience = Patience()
 
-    def open(self, arrival: Arrival, started: float) -> Case:
+    def open(self, arrival: Arrival, caller: Caller, started: float) -> Case:
         """Return the case of a request that was read at ``started``.
 
         :raises RequestError: when it may not run, with the reason.
@@ -100,7 +103,14 @@
         began = started - self._patience.find_spent(route.name, patience_s)
         need = self._build_need(route, workspace, arrival, began)
         case = Case(
-            arrival, route, workspace, started, started + limit_s, need, need
+            arrival,
+            caller,
+            route,
+            workspace,
+            started,
+            started + limit_s,
+            need,
+            need,
         )
         self._choose_version(case)
         return case
@@ -223,11 +233,14 @@
         return error
 
     def check_again(self, case: Case) -> None:
-        """Look again at the key, just before the request is sent.
+        """Look again at caller and key, just before the request is sent.
 
+        :raises CallerLeft: when nobody awaits the answer any more.
         :raises KeyRefused: when it was withdrawn meanwhile.
         :raises KeyStale: when that can no longer be told.
         """
+        if case.caller.has_left():
+            raise CallerLeft("the caller has left; nothing is sent for it")
         if case.workspace is None:
             return
         owner = self._belief.catalog.find_owner(case.arrival.key)
--- a/src/gypsummount/_edge/front.py
+++ b/src/gypsummount/_edge/front.py
@@ -9,6 +9,7 @@
 from tornado.httputil import ResponseStartLine
 from tornado.iostream import StreamClosedError
 
+from gypsummount._common.callers import Caller
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.metrics import Metrics
 from gypsummount._common.metrics import Series
@@ -20,6 +21,7 @@
 from gypsummount._edge.wire import Arrival
 from gypsummount._edge.wire import Wire
 from gypsummount._entry.exchanges import UpstreamAnswer
+from gypsummount.errors import CallerLeft
 from gypsummount.errors import NotReady
 from gypsummount.errors import OutcomeUnknown
 from gypsummount.errors import RequestError
@@ -64,7 +66,8 @@
         arrival: Arrival | None = None
         try:
             arrival = self._wire.read_arrival(request)
-            outcome = await self._proxy.run(arrival, started)
+            caller = Caller(request.connection.stream)
+            outcome = await self._proxy.run(arrival, caller, started)
             answer = outcome.answer
             self._write_answer(request, answer)
             self._note_answer(outcome, unread_s, read_monotonic() - started)
@@ -73,6 +76,9 @@
             self._decisions.note_refusal(
                 arrival, error, unread_s, read_monotonic() - started
             )
+        except CallerLeft:
+            self._metrics.count("callers.left_unsent")
+            request.connection.stream.close()
         except StreamClosedError:
             self._metrics.count("callers.lost")
         except CancelledError:
--- a/src/gypsummount/_edge/proxy.py
+++ b/src/gypsummount/_edge/proxy.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from gypsummount._common.callers import Caller
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._edge.admission import Admission
 from gypsummount._edge.admission import Case
@@ -17,6 +18,7 @@
 from gypsummount._entry.exchanges import ExchangeError
 from gypsummount._entry.exchanges import ExchangeTimeout
 from gypsummount._entry.exchanges import UpstreamAnswer
+from gypsummount._entry.exchanges import UpstreamRequest
 from gypsummount.errors import NoCapacity
 from gypsummount.errors import OutcomeUnknown
 from gypsummount.errors import UpstreamFailed
@@ -54,14 +56,17 @@
         self._wire = wire
         self._region = region
 
-    async def run(self, arrival: Arrival, started: float) -> ProxyOutcome:
+    async def run(
+        self, arrival: Arrival, caller: Caller, started: float
+    ) -> ProxyOutcome:
         """Return the upstream's answer to a request.
 
         ``started`` is when the request was read (boot clock, s).
 
         :raises RequestError: with the outcome of the request.
+        :raises CallerLeft: when the caller left before a send.
         """
-        case = self._admission.open(arrival, started)
+        case = self._admission.open(arrival, caller, started)
         if case.canary is not None and not case.is_new:
             case.canary.in_flight_old += 1
         try:
@@ -114,40 +119,37 @@
     async def _send(self, case: Case, pick: Pick) -> UpstreamAnswer:
         now = read_monotonic()
         backend = pick.backend
-        left_s = case.deadline - now
         closed_early = backend.pool.closed_early
-        is_sent = False
         try:
-            self._check_sendable(case, backend, left_s)
-            request = self._wire.build_request(
-                case.arrival,
-                backend.record.name,
-                case.workspace_name,
-                left_s,
+            self._check_sendable(case, backend, case.deadline - now)
+            answer = await backend.pool.send_built(
+                lambda left_s: self._build(case, pick, left_s),
+                case.deadline - now,
+                repeatable=case.route.repeatable,
             )
-            is_sent = True
-            case.sends += 1
-            case.last_send = Send(
-                backend.record.name,
-                backend.region,
-                pick.position,
-                pick.load,
-                now - case.started,
-            )
-            answer = await backend.pool.send(
-                request, left_s, repeatable=case.route.repeatable
-            )
-        except ExchangeError as error:
-            case.sends -= not error.sent
-            raise
         finally:
             if backend.pool.closed_early != closed_early:
                 self._selection.note_broken(backend, read_monotonic())
             self._selection.release(backend)
-        if is_sent:
-            self._note_answer(case, pick, answer, read_monotonic() - now)
+        self._note_answer(case, pick, answer, read_monotonic() - now)
         return answer
 
+    def _build(self, case: Case, pick: Pick, left_s: float) -> UpstreamRequest:
+        """Return what is sent now, after a last look."""
+        backend = pick.backend
+        self._check_sendable(case, backend, left_s)
+        case.sends += 1
+        case.last_send = Send(
+            backend.record.name,
+            backend.region,
+            pick.position,
+            pick.load,
+            read_monotonic() - case.started,
+        )
+        return self._wire.build_request(
+            case.arrival, backend.record.name, case.workspace_name, left_s
+        )
+
     def _check_sendable(
         self, case: Case, backend: Backend, left_s: float
     ) -> None:
--- a/src/gypsummount/_entry/connections.py
+++ b/src/gypsummount/_entry/connections.py
@@ -1,7 +1,8 @@
 """Kept connections to upstreams; reused only after a clean exchange."""
 
 from asyncio import CancelledError
-from asyncio import wait_for
+from asyncio import timeout
+from collections.abc import Callable
 from dataclasses import dataclass
 from socket import AF_INET
 from socket import AF_INET6
@@ -94,9 +95,30 @@
     ) -> UpstreamAnswer:
         """Exchange over a kept or a new connection.
 
-        A request that may not be repeated goes only over a connection
-        that has answered within ``fresh_s`` seconds and since the last
-        silence, because another may have gone silent.
+        :raises ExchangeError: as :meth:`UpstreamConnection.exchange`.
+        """
+        return await self.send_built(
+            lambda _: request,
+            limit_s,
+            repeatable=repeatable,
+            new_only=new_only,
+        )
+
+    async def send_built(
+        self,
+        build: Callable[[float], UpstreamRequest],
+        limit_s: float,
+        *,
+        repeatable: bool,
+        new_only: bool = False,
+    ) -> UpstreamAnswer:
+        """Exchange a request that is built once a connection is there.
+
+        ``build`` gets the time left (s); what it raises ends the send,
+        and the connection is kept.  A request that may not be repeated
+        goes only over a connection that has answered within ``fresh_s``
+        seconds and since the last silence, because another may have gone
+        silent.
 
         :raises ExchangeError: as :meth:`UpstreamConnection.exchange`.
         """
@@ -107,6 +129,11 @@
         if connection is None:
             connection = await self._open(min(limit_s, CONNECT_LIMIT_S))
         left_s = limit_s - (read_monotonic() - started)
+        try:
+            request = build(left_s)
+        except Exception:
+            self._keep(connection)
+            raise
         try:
             answer = await connection.exchange(
                 request, self._host, max(0.001, left_s)
@@ -159,7 +186,8 @@
             _create_socket(family), max_buffer_size=2 * MAX_ANSWER_BYTES
         )
         try:
-            await wait_for(stream.connect((host, port)), limit_s)
+            async with timeout(limit_s):
+                await stream.connect((host, port))
         except (TimeoutError, OSError, StreamClosedError) as error:
             stream.close()
             raise ExchangeError(
--- a/src/gypsummount/_entry/exchanges.py
+++ b/src/gypsummount/_entry/exchanges.py
@@ -1,6 +1,6 @@
 """One exchange with an upstream over one connection."""
 
-from asyncio import wait_for
+from asyncio import timeout
 from dataclasses import dataclass
 from socket import MSG_DONTWAIT
 from socket import MSG_PEEK
@@ -151,7 +151,8 @@
         is_clean = False
         reader = _AnswerReader()
         try:
-            await wait_for(self._talk(request, host, reader), limit_s)
+            async with timeout(limit_s):
+                await self._talk(request, host, reader)
             answer = self._build_answer(request, reader)
             is_clean = reader.keeps_alive and not self._stream.writing()
         except TimeoutError:
--- a/src/gypsummount/errors.py
+++ b/src/gypsummount/errors.py
@@ -59,6 +59,12 @@
     code = "record_invalid"
 
 
+class CallerLeft(GypsummountError):
+    """The caller has closed its connection; nobody awaits an answer."""
+
+    code = "caller_left"
+
+
 class RequestError(GypsummountError):
     """A request that the system answers itself.
 
--- a/tests/edge/test_front.py
+++ b/tests/edge/test_front.py
@@ -23,14 +23,14 @@
 def create_case(arrival, started, *, due_s=1.0):
     route = EdgeRoute("r", "h", "/", (), True, True, False, 2.0, due_s, 1, 0)
     need = Need("s", frozenset(), frozenset(), 1, 1, started + due_s, due_s)
-    return Case(arrival, route, None, started, started + 2.0, need, need)
+    return Case(arrival, None, route, None, started, started + 2.0, need, need)
 
 
 class _Proxy:
     def __init__(self):
         self.runs = 0
 
-    async def run(self, arrival, started):
+    async def run(self, arrival, caller, started):
         self.runs += 1
         answer = UpstreamAnswer(200, "OK", [], b"yes")
         return ProxyOutcome(answer, create_case(arrival, started))
--- /dev/null
+++ b/tests/edge/test_sends.py
@@ -0,0 +1,98 @@
+"""What is looked at again just before a request is sent."""
+
+from asyncio import sleep
+
+import pytest
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._core.freshness import FreshnessProof
+from gypsummount._core.quotas import QuotaShares
+from gypsummount._edge.admission import Admission
+from gypsummount._edge.belief import Belief
+from gypsummount._entry.connections import ConnectionPool
+from gypsummount._entry.exchanges import UpstreamRequest
+from gypsummount.errors import CallerLeft
+from tests.edge.test_front import create_case
+from tests.entry.wires import build_answer
+from tests.entry.wires import read_request
+from tests.entry.wires import ScriptedUpstream
+
+
+class _Upstream(ScriptedUpstream):
+    def __init__(self):
+        super().__init__(self._serve)
+        self.requests = 0
+
+    async def _serve(self, reader, writer):
+        while True:
+            head = await read_request(reader)
+            self.requests += 1
+            writer.write(build_answer(head, b"whole"))
+
+
+@pytest.fixture
+async def upstream():
+    async with _Upstream() as made:
+        yield made
+
+
+class _Caller:
+    def __init__(self, *, left):
+        self._left = left
+
+    def has_left(self):
+        return self._left
+
+
+class TestLastLook:
+    @pytest.fixture
+    def admission(self):
+        belief = Belief(None, FreshnessProof(4.0))
+        return Admission(belief, QuotaShares(1.0), None)
+
+    def test_caller_that_left_while_its_request_waited_is_found(
+        self, admission
+    ):
+        """Guards against sends after a wait that the caller gave up."""
+        case = create_case(None, read_monotonic())
+        case.caller = _Caller(left=True)
+        with pytest.raises(CallerLeft):
+            admission.check_again(case)
+
+    def test_caller_that_waits_is_served(self, admission):
+        case = create_case(None, read_monotonic())
+        case.caller = _Caller(left=False)
+        admission.check_again(case)
+
+
+class TestBuildAtTheSend:
+    async def test_caller_that_left_during_the_connect_gets_no_send(
+        self, upstream
+    ):
+        """Guards against sends for callers that left since the choice."""
+        pool = ConnectionPool(upstream.address)
+
+        def build(left_s):
+            raise CallerLeft("the caller has left")
+
+        with pytest.raises(CallerLeft):
+            await pool.send_built(build, 1.0, repeatable=True)
+        assert pool.opened == 1
+        assert pool.idle == 1
+        await sleep(0.05)
+        assert upstream.requests == 0
+        pool.close()
+
+    async def test_time_left_is_told_as_of_the_send(self, upstream):
+        """Guards against deadlines as of a choice long before the send."""
+        pool = ConnectionPool(upstream.address)
+        told = []
+
+        def build(left_s):
+            told.append(left_s)
+            return UpstreamRequest("GET", "/x", (), b"", "id-1")
+
+        answer = await pool.send_built(build, 1.0, repeatable=True)
+        assert answer.body == b"whole"
+        assert 0.5 < told[0] < 1.0
+        pool.close()
--- a/tests/model/fleet.py
+++ b/tests/model/fleet.py
@@ -178,6 +178,13 @@
     return encode_copy(copy)
 
 
+class _WaitingCaller:
+    """A caller that never leaves."""
+
+    def has_left(self):
+        return False
+
+
 class Fleet:
     """Machines, upstreams and the store between which they act."""
 
@@ -294,6 +301,8 @@
             PATIENCE_S,
         )
         try:
-            await process.front._proxy.run(arrival, read_monotonic())
+            await process.front._proxy.run(
+                arrival, _WaitingCaller(), read_monotonic()
+            )
         except RequestError:
             return
--- a/tests/model/upstreams.py
+++ b/tests/model/upstreams.py
@@ -186,12 +186,25 @@
         self._kept.clear()
 
     async def send(self, request, limit_s, *, repeatable, new_only=False):
+        return await self.send_built(
+            lambda _: request,
+            limit_s,
+            repeatable=repeatable,
+            new_only=new_only,
+        )
+
+    async def send_built(self, build, limit_s, *, repeatable, new_only=False):
         began = get_running_loop().time()
         upstream = self.network.find_upstream(self.address)
         start = None if new_only else self._take_kept(upstream)
         if start is None:
             start = await self._open(upstream, min(limit_s, CONNECT_LIMIT_S))
         left_s = max(0.001, limit_s - (get_running_loop().time() - began))
+        try:
+            request = build(left_s)
+        except Exception:
+            self._kept.append(start)
+            raise
         try:
             answer = await wait_for(
                 self._exchange(upstream, start, request), left_s
