Count the time of a request from its arrival

What it waited in the socket of a busy process, and the rounds that reading takes, were granted again. Class: a limit that starts at the observer's clock, not at the event. Change: the time starts when the request can have come at the earliest: when the loop was last idle, or five rounds back, which is the way from the socket to a complete request. Edge and entry share it. Why it works: an idle loop reads at once, so the estimate is exact there; in a busy one it errs to the safe side, by a round or two.

--- a/src/gypsummount/_common/rounds.py
+++ b/src/gypsummount/_common/rounds.py
@@ -1,6 +1,7 @@
 """Rounds of the event loop: how long they take, and what waits unread."""
 
 from asyncio import SelectorEventLoop
+from collections import deque
 from selectors import DefaultSelector
 from selectors import SelectorKey
 from typing import final
@@ -10,6 +11,8 @@
 # A poll that takes less found something that had come before it.
 IDLE_S = 0.001
 SPAN_WEIGHT = 0.3
+# The round in which bytes come, and those that it takes to read a request.
+READ_ROUNDS = 5
 
 
 class Rounds:
@@ -18,33 +21,28 @@
     ``span_s`` is how long the last rounds worked, smoothed.
     """
 
-    __slots__ = ("_began", "_before", "_oldest", "span_s")
+    __slots__ = ("_began", "span_s")
 
     def __init__(self) -> None:
-        self._oldest: float | None = None
-        self._before: float | None = None
-        self._began: float | None = None
+        self._began: deque[float] = deque(maxlen=READ_ROUNDS)
         self.span_s = 0.0
 
     def note_poll(self, entered: float, returned: float) -> None:
         """Record when a poll began and ended (boot clock, s)."""
-        if self._began is None or returned - entered > IDLE_S:
-            self._oldest = self._before = returned
-        else:
-            self._oldest = self._before
-            self._before = self._began
-        if self._began is not None:
-            worked_s = entered - self._began
+        if self._began:
+            worked_s = entered - self._began[-1]
             self.span_s += (worked_s - self.span_s) * SPAN_WEIGHT
-        self._began = returned
+        if returned - entered > IDLE_S:
+            self._began.clear()
+        self._began.append(returned)
 
     def find_unread(self, now: float) -> float:
         """Return how long (s) what is read now has waited, at most.
 
-        A request on a new connection is read one round after its
-        connection is accepted, and both wait for the round before.
+        It came when the loop was last idle, or in the rounds that the
+        way from the socket to a complete request takes.
         """
-        return now - self._oldest if self._oldest is not None else 0.0
+        return now - self._began[0] if self._began else 0.0
 
 
 @final
--- a/src/gypsummount/_common/serving.py
+++ b/src/gypsummount/_common/serving.py
@@ -103,8 +103,9 @@
             return
         if self._answer_at_once(request):
             return
-        unread_s = self._rounds.find_unread(read_monotonic())
-        task = create_task(self._serve(request, unread_s))
+        now = read_monotonic()
+        arrived = now - self._rounds.find_unread(now)
+        task = create_task(self._serve(request, arrived))
         self._running[task] = stream
         task.add_done_callback(self._running.pop)
         request.connection.set_close_callback(task.cancel)
@@ -114,7 +115,8 @@
         """Answer a request that needs no task; False for the others."""
 
     @abstractmethod
-    async def _serve(
-        self, request: HTTPServerRequest, unread_s: float
-    ) -> None:
-        """Answer a request that was unread for so long (s), at most."""
+    async def _serve(self, request: HTTPServerRequest, arrived: float) -> None:
+        """Answer a request.
+
+        ``arrived`` is when it came, at the earliest (boot clock, s).
+        """
--- a/src/gypsummount/_common/settings.py
+++ b/src/gypsummount/_common/settings.py
@@ -1,6 +1,6 @@
 """Settings shared by the programs, and checks with clear errors."""
 
-from asyncio import run
+from asyncio import Runner
 from collections.abc import Callable
 from collections.abc import Coroutine
 from contextlib import suppress
@@ -11,6 +11,8 @@
 from typer import Exit
 from typer import Option
 
+from gypsummount._common.rounds import create_loop
+from gypsummount._common.rounds import Rounds
 from gypsummount._config.fields import FieldError
 from gypsummount._config.fields import read_address
 from gypsummount._config.fields import read_name
@@ -109,11 +111,21 @@
     return text.encode()
 
 
-def run_program(main: Callable[[], Coroutine[object, object, None]]) -> None:
-    """Run a program; a known error is one line and exit code 2."""
+def run_program(
+    main: Callable[[], Coroutine[object, object, None]],
+    rounds: Rounds | None = None,
+) -> None:
+    """Run a program; a known error is one line and exit code 2.
+
+    ``rounds`` times the loop that it runs on.
+    """
+    timed = rounds or Rounds()
     try:
-        with suppress(KeyboardInterrupt):
-            run(main())
+        with (
+            suppress(KeyboardInterrupt),
+            Runner(loop_factory=lambda: create_loop(timed)) as runner,
+        ):
+            runner.run(main())
     except GypsummountError as error:
         echo(f"error: {error}", err=True)
         raise Exit(USAGE_EXIT) from None
--- a/src/gypsummount/_edge/admission.py
+++ b/src/gypsummount/_edge/admission.py
@@ -89,7 +89,7 @@
         self._patience = Patience()
 
     def open(self, arrival: Arrival, caller: Caller, started: float) -> Case:
-        """Return the case of a request that was read at ``started``.
+        """Return the case of a request that came at ``started``.
 
         :raises RequestError: when it may not run, with the reason.
         """
--- a/src/gypsummount/_edge/front.py
+++ b/src/gypsummount/_edge/front.py
@@ -59,22 +59,20 @@
             self._write_error(request, _build_leaving())
         return self._is_ending
 
-    async def _serve(
-        self, request: HTTPServerRequest, unread_s: float
-    ) -> None:
-        started = read_monotonic()
+    async def _serve(self, request: HTTPServerRequest, arrived: float) -> None:
+        unread_s = read_monotonic() - arrived
         arrival: Arrival | None = None
         try:
             arrival = self._wire.read_arrival(request)
             caller = Caller(request.connection.stream)
-            outcome = await self._proxy.run(arrival, caller, started)
+            outcome = await self._proxy.run(arrival, caller, arrived)
             answer = outcome.answer
             self._write_answer(request, answer)
-            self._note_answer(outcome, unread_s, read_monotonic() - started)
+            self._note_answer(outcome, unread_s, read_monotonic() - arrived)
         except RequestError as error:
             self._write_error(request, error)
             self._decisions.note_refusal(
-                arrival, error, unread_s, read_monotonic() - started
+                arrival, error, unread_s, read_monotonic() - arrived
             )
         except CallerLeft:
             self._metrics.count("callers.left_unsent")
--- a/src/gypsummount/_edge/proxy.py
+++ b/src/gypsummount/_edge/proxy.py
@@ -61,7 +61,7 @@
     ) -> ProxyOutcome:
         """Return the upstream's answer to a request.
 
-        ``started`` is when the request was read (boot clock, s).
+        ``started`` is when the request came (boot clock, s).
 
         :raises RequestError: with the outcome of the request.
         :raises CallerLeft: when the caller left before a send.
--- a/src/gypsummount/_edge/sharing.py
+++ b/src/gypsummount/_edge/sharing.py
@@ -46,9 +46,7 @@
         write_plain(request, 404, "text/plain", b"not found\n")
         return True
 
-    async def _serve(
-        self, request: HTTPServerRequest, unread_s: float
-    ) -> None:
+    async def _serve(self, request: HTTPServerRequest, arrived: float) -> None:
         asked_at = read_monotonic()
         try:
             cursor = Cursor(
--- a/src/gypsummount/_entry/arrivals.py
+++ b/src/gypsummount/_entry/arrivals.py
@@ -69,9 +69,13 @@
             )
         return record
 
-    def read(self, request: HTTPServerRequest) -> SteeredRequest:
+    def read(
+        self, request: HTTPServerRequest, arrived: float
+    ) -> SteeredRequest:
         """Return the request to steer.
 
+        Its time counts from ``arrived`` (boot clock, s).
+
         :raises RequestError: naming the remedy.
         """
         if not self._snapshot.is_ready:
@@ -93,7 +97,7 @@
                 for name, value in request.headers.get_all()
             ),
             request.body,
-            read_monotonic() + limit_s,
+            arrived + limit_s,
             f"{self._incarnation}-{self._counter}",
             read_idempotency_key(request.headers),
         )
--- a/src/gypsummount/_entry/front.py
+++ b/src/gypsummount/_entry/front.py
@@ -15,6 +15,7 @@
 from gypsummount._common.logs import get_logger
 from gypsummount._common.metrics import Metrics
 from gypsummount._common.metrics import Series
+from gypsummount._common.rounds import Rounds
 from gypsummount._common.serving import RequestServer
 from gypsummount._core.keys import KeyRecord
 from gypsummount._core.lookups import Place
@@ -58,8 +59,9 @@
         metrics: Metrics,
         place: Place,
         lookup_ttl_s: float,
+        rounds: Rounds | None = None,
     ) -> None:
-        super().__init__(MAX_BODY_BYTES)
+        super().__init__(MAX_BODY_BYTES, rounds)
         self._snapshot = snapshot
         self._reader = reader
         self._homes = homes
@@ -132,21 +134,18 @@
             }
         ).encode()
 
-    async def _serve(
-        self, request: HTTPServerRequest, unread_s: float
-    ) -> None:
-        started = read_monotonic()
+    async def _serve(self, request: HTTPServerRequest, arrived: float) -> None:
         steered: SteeredRequest | None = None
         try:
             if request.path.startswith(f"{OWN_PREFIX}/"):
                 raise RequestInvalid(
                     f"no such resource; use GET {LOOKUP_PATH}?service=NAME"
                 )
-            steered = self._reader.read(request)
+            steered = self._reader.read(request, arrived)
             answer = await self._homes.run(steered)
             self._write_answer(request, answer)
             series = Series(steered.workspace, steered.route.prefix)
-            self._metrics.record(series, read_monotonic() - started)
+            self._metrics.record(series, read_monotonic() - arrived)
             self._metrics.count("steering.answered")
         except RequestError as error:
             outcome = self._find_outcome(request, steered, error)
--- a/src/gypsummount/_entry/process.py
+++ b/src/gypsummount/_entry/process.py
@@ -11,6 +11,7 @@
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.logs import get_logger
 from gypsummount._common.metrics import Metrics
+from gypsummount._common.rounds import Rounds
 from gypsummount._common.rpc import Channels
 from gypsummount._common.rpc import open_server
 from gypsummount._common.rpc import start_server
@@ -79,7 +80,9 @@
 class EntryProcess:
     """An entry that serves until it is told to stop."""
 
-    def __init__(self, settings: EntrySettings) -> None:
+    def __init__(
+        self, settings: EntrySettings, rounds: Rounds | None = None
+    ) -> None:
         now = read_monotonic()
         self._settings = settings
         self._life = Machine("lifecycle")
@@ -134,6 +137,7 @@
             self.metrics,
             Place(settings.domain, settings.region),
             settings.lookup_ttl_s,
+            rounds,
         )
 
     @property
--- a/src/gypsummount/_entry/program.py
+++ b/src/gypsummount/_entry/program.py
@@ -6,6 +6,7 @@
 from typer import run as run_typer
 
 from gypsummount._common.logs import configure_logs
+from gypsummount._common.rounds import Rounds
 from gypsummount._common.settings import check_address
 from gypsummount._common.settings import check_level
 from gypsummount._common.settings import check_name
@@ -87,6 +88,8 @@
 ) -> None:
     """Serve look-ups and steer requests of callers to upstreams."""
 
+    rounds = Rounds()
+
     async def main() -> None:
         configure_logs(check_level(log_level), "entry")
         settings = EntrySettings(
@@ -107,11 +110,11 @@
                 else ""
             ),
         )
-        process = EntryProcess(settings)
+        process = EntryProcess(settings, rounds)
         on_stop(process.stop)
         await process.run()
 
-    run_program(main)
+    run_program(main, rounds)
 
 
 def _check_drain(drain_s: float, lookup_ttl_s: float) -> float:
