Divide a split by weight from the next request on, at many instances too

What callers saw: CONFIG is also broken by the shares of a split (0.2 off in a span of 200 requests). In the evidence: 8 instances, 25 requests each after 70:30 became 0.5:0.5 gave a share of 0.88 where 0.5 was due; 95:5 to 1:1 gave 1.00; 100 instances with two requests each gave 0.50 for 0.30. Cause (C1): the turns kept a balance in the unit of the weights, so that of 95:5 outweighed many requests at 1:1; and every instance began with the same, the heaviest, destination. Class: state kept in the unit of a configuration that has gone; and equal first steps of many instances. Why it works: the points do not depend on weights; any span of them fills the interval evenly, and the first points of many instances are random. Tests: core/test_spreading.py; six of its cases failed before.

--- a/src/gypsummount/_edge/admission.py
+++ b/src/gypsummount/_edge/admission.py
@@ -3,6 +3,7 @@
 from asyncio import sleep
 from dataclasses import dataclass
 from dataclasses import replace
+from random import Random
 
 from gypsummount._common.callers import Caller
 from gypsummount._common.clocks import read_monotonic
@@ -80,12 +81,16 @@
     """Decides whether and as what a request may run."""
 
     def __init__(
-        self, belief: Belief, quotas: QuotaShares, rollouts: Rollouts
+        self,
+        belief: Belief,
+        quotas: QuotaShares,
+        rollouts: Rollouts,
+        random: Random,
     ) -> None:
         self._belief = belief
         self._quotas = quotas
         self._rollouts = rollouts
-        self._turns = WeightedTurns()
+        self._turns = WeightedTurns(random)
         self._patience = Patience()
 
     def open(self, arrival: Arrival, caller: Caller, started: float) -> Case:
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -119,7 +119,12 @@
             Proxy(
                 self.belief,
                 self._selection,
-                Admission(self.belief, self._quotas, self._rollouts),
+                Admission(
+                    self.belief,
+                    self._quotas,
+                    self._rollouts,
+                    Random(f"{settings.instance} {self._incarnation}"),
+                ),
                 self._repeats,
                 wire,
                 settings.region,
--- /dev/null
+++ b/tests/core/test_spreading.py
@@ -0,0 +1,70 @@
+"""Shares of a split: on one instance, over many, and after changes."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+
+from gypsummount._core.catalog import Destination
+from gypsummount._core.spreading import WeightedTurns
+
+
+def split(first, second):
+    return (Destination("a", first), Destination("b", second))
+
+
+def create_turns(instances):
+    return [WeightedTurns(Random(number)) for number in range(instances)]
+
+
+def choose(turns, destinations, count):
+    """Return how often each service is chosen at all instances."""
+    return Counter(
+        one.choose("r", destinations) for one in turns for _ in range(count)
+    )
+
+
+class TestShares:
+    @pytest.mark.parametrize("first", [1, 5, 30, 50, 70, 95])
+    def test_share_of_one_instance_is_its_weight(self, first):
+        counts = choose(create_turns(1), split(first, 100 - first), 200)
+        assert counts["a"] / 200 == pytest.approx(first / 100, abs=0.02)
+
+    def test_three_parts_get_their_weights(self):
+        parts = (*split(0.2, 0.3), Destination("c", 0.5))
+        counts = choose(create_turns(1), parts, 200)
+        shares = [counts[name] / 200 for name in "abc"]
+        assert shares == pytest.approx([0.2, 0.3, 0.5], abs=0.02)
+
+    @pytest.mark.parametrize(
+        ("instances", "count", "second"),
+        [(100, 2, 0.3), (60, 3, 0.2), (300, 1, 0.25), (8, 25, 0.3)],
+    )
+    def test_few_requests_at_many_instances_get_their_weights(
+        self, instances, count, second
+    ):
+        """Guards against instances that all begin with the same turn."""
+        turns = create_turns(instances)
+        counts = choose(turns, split(1 - second, second), count)
+        share = counts["b"] / (instances * count)
+        assert share == pytest.approx(second, abs=0.08)
+
+    @pytest.mark.parametrize(
+        ("before", "after", "due"),
+        [
+            (split(70, 30), split(0.5, 0.5), 0.5),
+            (split(95, 5), split(1, 1), 0.5),
+            (split(0.9, 0.1), split(10, 90), 0.1),
+            (split(50, 50), split(0.2, 0.8), 0.2),
+        ],
+    )
+    def test_new_weights_hold_at_once_whatever_their_scale(
+        self, before, after, due
+    ):
+        """Guards against balances kept in the unit of old weights."""
+        turns = create_turns(8)
+        for count in range(1, 14):
+            choose(turns[:1], before, count)
+            choose(turns[1:], before, 7)
+        counts = choose(turns, after, 25)
+        assert counts["a"] / 200 == pytest.approx(due, abs=0.05)
--- a/tests/edge/test_sends.py
+++ b/tests/edge/test_sends.py
@@ -48,7 +48,7 @@
     @pytest.fixture
     def admission(self):
         belief = Belief(None, FreshnessProof(4.0))
-        return Admission(belief, QuotaShares(1.0), None)
+        return Admission(belief, QuotaShares(1.0), None, None)
 
     def test_caller_that_left_while_its_request_waited_is_found(
         self, admission
