Limit the connections that callers keep open

Class: a resource that others take and only time gives back. Change: the settings tell how many descriptors there are; callers get half. Above that the longest idle connection ends, if nothing has come on it. Why it works: a connection in use is never ended, and callers whose idle one has ended connect again. Tests: common/test_serving.py::TestManyConnections; the limit does not exist before.

--- a/src/gypsummount/_common/serving.py
+++ b/src/gypsummount/_common/serving.py
@@ -6,33 +6,18 @@
 from asyncio import sleep
 from asyncio import Task
 
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPServerRequest
 from tornado.iostream import IOStream
 
 from gypsummount._common.callers import Caller
 from gypsummount._common.callers import find_left
 from gypsummount._common.clocks import read_monotonic
+from gypsummount._common.listening import Listener
 from gypsummount._common.rounds import Rounds
 
 IDLE_LIMIT_S = 75
 WATCH_S = 0.1
-
-
-class _Listener(HTTPServer):
-    """Counts the connections that are open."""
-
-    def initialize(self, *arguments: object, **options: object) -> None:
-        super().initialize(*arguments, **options)
-        self.open = 0
-
-    def handle_stream(self, stream: IOStream, address: tuple) -> None:
-        self.open += 1
-        super().handle_stream(stream, address)
-
-    def on_close(self, server_conn: object) -> None:
-        self.open -= 1
-        super().on_close(server_conn)
+MOST_CONNECTIONS = 2048
 
 
 class RequestServer(ABC):
@@ -43,13 +28,17 @@
     """
 
     def __init__(
-        self, max_body_bytes: int, rounds: Rounds | None = None
+        self,
+        max_body_bytes: int,
+        rounds: Rounds | None = None,
+        most_connections: int = MOST_CONNECTIONS,
     ) -> None:
         self._rounds = rounds or Rounds()
         self._running: dict[Task[None], IOStream] = {}
         self.left_unread = 0
-        self._server = _Listener(
+        self._server = Listener(
             self._receive,
+            most_connections=most_connections,
             max_body_size=max_body_bytes,
             idle_connection_timeout=IDLE_LIMIT_S,
         )
@@ -65,6 +54,11 @@
         """Return the number of open connections of callers."""
         return self._server.open
 
+    @property
+    def ended_idle(self) -> int:
+        """Return how many connections ended as there were too many."""
+        return self._server.ended_idle
+
     def listen(self, sockets: list) -> None:
         """Begin to accept connections."""
         self._server.add_sockets(sockets)
@@ -102,14 +96,19 @@
             stream.close()
             return
         if self._answer_at_once(request):
+            self._server.note_idle(stream)
             return
         now = read_monotonic()
         arrived = now - self._rounds.find_unread(now)
         task = create_task(self._serve(request, arrived))
         self._running[task] = stream
-        task.add_done_callback(self._running.pop)
+        self._server.note_busy(stream)
+        task.add_done_callback(self._end)
         request.connection.set_close_callback(task.cancel)
 
+    def _end(self, task: Task[None]) -> None:
+        self._server.note_idle(self._running.pop(task))
+
     @abstractmethod
     def _answer_at_once(self, request: HTTPServerRequest) -> bool:
         """Answer a request that needs no task; False for the others."""
--- a/src/gypsummount/_edge/front.py
+++ b/src/gypsummount/_edge/front.py
@@ -14,6 +14,7 @@
 from gypsummount._common.metrics import Metrics
 from gypsummount._common.metrics import Series
 from gypsummount._common.rounds import Rounds
+from gypsummount._common.serving import MOST_CONNECTIONS
 from gypsummount._common.serving import RequestServer
 from gypsummount._edge.decisions import DecisionLog
 from gypsummount._edge.proxy import Proxy
@@ -42,8 +43,9 @@
         metrics: Metrics,
         decisions: DecisionLog,
         rounds: Rounds | None = None,
+        most_connections: int = MOST_CONNECTIONS,
     ) -> None:
-        super().__init__(MAX_BODY_BYTES, rounds)
+        super().__init__(MAX_BODY_BYTES, rounds, most_connections)
         self._proxy = proxy
         self._wire = wire
         self._metrics = metrics
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -133,6 +133,7 @@
             self.metrics,
             DecisionLog(self.belief, self.metrics),
             self._rounds,
+            settings.most_connections,
         )
 
     @property
@@ -179,6 +180,7 @@
         gauges = {
             "in_flight": float(self.front.in_flight),
             "callers_left_unread": float(self.front.left_unread),
+            "connections_ended_idle": float(self.front.ended_idle),
             "connections_open": float(self.front.connections),
             "round_seconds": self._rounds.span_s,
             "peers_live": float(len(self.peers.list_live(now))),
--- a/src/gypsummount/_edge/settings.py
+++ b/src/gypsummount/_edge/settings.py
@@ -3,6 +3,9 @@
 from dataclasses import dataclass
 
 PROOF_MARGIN_S = 1.2
+DESCRIPTORS = 4096
+# The rest is for upstreams, peers and the store.
+CALLERS_PART = 0.5
 
 
 @dataclass(slots=True, frozen=True)
@@ -24,7 +27,8 @@
     """Where an edge listens and where it stands.
 
     ``regions`` maps each failure domain to its region; ``seeds`` are
-    IPs of instances that may know others.
+    IPs of instances that may know others, ``descriptors`` how many a
+    process may open.
     """
 
     instance: str
@@ -39,3 +43,9 @@
     peer_port: int
     seeds: tuple[str, ...]
     bounds: EdgeBounds
+    descriptors: int = DESCRIPTORS
+
+    @property
+    def most_connections(self) -> int:
+        """Return how many connections of callers are kept."""
+        return int(self.descriptors * CALLERS_PART)
--- a/src/gypsummount/platform/settings.py
+++ b/src/gypsummount/platform/settings.py
@@ -5,6 +5,7 @@
 from os import environ
 from pathlib import Path
 
+from gypsummount._edge.settings import DESCRIPTORS
 from gypsummount._edge.settings import EdgeBounds
 from gypsummount._edge.settings import EdgeSettings
 from gypsummount.errors import SettingError
@@ -69,6 +70,7 @@
 
 def _decode(raw: dict) -> PlatformSettings:
     bounds = _decode_bounds(raw["bounds"])
+    limits = raw.get("limits") or {}
     listen = raw["listen"]
     edge = EdgeSettings(
         instance=raw["node"],
@@ -89,6 +91,7 @@
             grace_s=bounds.get("graceS", 6.0),
             lookup_ttl_s=min(bounds.get("ttl_max_s", 5.0), LOOKUP_TTL_S),
         ),
+        descriptors=int(limits.get("fileDescriptors") or DESCRIPTORS),
     )
     return PlatformSettings(edge, raw["platform"]["address"])
 
--- a/tests/common/test_serving.py
+++ b/tests/common/test_serving.py
@@ -20,8 +20,8 @@
 class _Server(RequestServer):
     """Lets every request run until it is cancelled or released."""
 
-    def __init__(self):
-        super().__init__(1000)
+    def __init__(self, most_connections):
+        super().__init__(1000, most_connections=most_connections)
         self.started = 0
         self.cancelled = 0
         self.finished = 0
@@ -41,8 +41,9 @@
 
 
 class Place:
-    def __init__(self, stack):
-        self.server = _Server()
+    def __init__(self, stack, most_connections=100):
+        self.stack = stack
+        self.server = _Server(most_connections)
         sockets = bind_sockets(0, "127.0.0.1")
         self.server.listen(sockets)
         stack.push_async_callback(self.server.close)
@@ -54,7 +55,9 @@
             caller.sendall(data)
 
     def connect(self):
-        return socket.create_connection(self.address)
+        caller = socket.create_connection(self.address)
+        self.stack.callback(caller.close)
+        return caller
 
 
 @pytest.fixture
@@ -135,3 +138,67 @@
         await sleep(0.05)
         assert place.server.finished == 1
         writer.close()
+
+
+def has_ended(caller):
+    """Tell whether the server has closed a caller's connection."""
+    caller.setblocking(False)
+    try:
+        return caller.recv(1) == b""
+    except BlockingIOError:
+        return False
+
+
+class TestManyConnections:
+    @pytest.fixture
+    async def narrow(self):
+        async with AsyncExitStack() as stack:
+            yield Place(stack, most_connections=5)
+
+    async def test_idle_connections_take_no_descriptors_without_limit(
+        self, narrow
+    ):
+        """Guards against crowds that use up all descriptors."""
+        callers = []
+        for _ in range(12):
+            callers.append(narrow.connect())
+            await sleep(0.01)
+        await sleep(NOTICED_S)
+        assert narrow.server.connections <= 5
+        assert [has_ended(one) for one in callers] == [True] * 7 + [False] * 5
+
+    async def test_busy_connections_are_kept(self, narrow):
+        callers = [narrow.connect() for _ in range(4)]
+        for caller in callers:
+            caller.sendall(REQUEST)
+        await sleep(NOTICED_S)
+        for _ in range(6):
+            narrow.connect()
+            await sleep(0.01)
+        await sleep(NOTICED_S)
+        assert not any(has_ended(one) for one in callers)
+        assert narrow.server.in_flight == 4
+
+    async def test_connection_with_an_unread_request_is_kept(self, narrow):
+        """Guards against ends that cross a request."""
+        callers = [narrow.connect() for _ in range(5)]
+        await sleep(NOTICED_S)
+        callers[0].sendall(REQUEST)
+        narrow.connect()
+        await sleep(NOTICED_S)
+        ended = [has_ended(one) for one in callers]
+        assert ended == [False, True, False, False, False]
+        assert narrow.server.started == 1
+
+    async def test_new_callers_are_served_while_others_close(self, narrow):
+        """Guards against errors at the limit that cut new callers off."""
+        for _ in range(20):
+            callers = [narrow.connect() for _ in range(4)]
+            await sleep(0)
+            for caller in callers:
+                caller.close()
+        caller = narrow.connect()
+        caller.sendall(REQUEST)
+        await sleep(NOTICED_S)
+        assert narrow.server.in_flight == 1
+        assert narrow.server.connections == 1
