Doubt an upstream after a timeout only if it answers nobody

What callers saw: refusals in a crowd with upstreams idle; many healthy upstreams turned cold by broken_exchange within a second. Class: a measure of the observer taken for one of the observed. Change: a timeout makes a doubt only while the upstream is quiet towards everybody, and a fault only if the exchange had twice the usual latency. Resets and cut answers count as before, and so does silence. Why it works: an upstream that restarted answers nothing on old connections; one that answers others has not restarted.

--- a/src/gypsummount/_core/backlog.py
+++ b/src/gypsummount/_core/backlog.py
@@ -27,6 +27,7 @@
 # An upstream is silent after so long, and so many times its latency.
 LEAST_SILENCE_S = 0.4
 SILENT_LATENCIES = 3.0
+FAIR_LATENCIES = 2.0
 
 _log = get_logger("backlog")
 
@@ -147,8 +148,16 @@
 
     def is_silent(self, now: float) -> bool:
         """Tell whether requests are out and none has been answered."""
+        return self.in_flight > 0 and self.is_quiet(now)
+
+    def is_quiet(self, now: float) -> bool:
+        """Tell whether no answer has come for longer than is usual."""
         limit_s = max(LEAST_SILENCE_S, SILENT_LATENCIES * self.latency_s)
-        return self.in_flight > 0 and now - self._quiet_since > limit_s
+        return now - self._quiet_since > limit_s
+
+    def is_fair(self, span_s: float) -> bool:
+        """Tell whether an answer was to be expected in a time (s)."""
+        return span_s >= FAIR_LATENCIES * self.latency_s
 
     def note_heard(self, now: float) -> None:
         """Record an answer of any kind."""
--- a/src/gypsummount/_edge/proxy.py
+++ b/src/gypsummount/_edge/proxy.py
@@ -259,10 +259,8 @@
             self._check_time(case, now)
             return
         case.may_have_run = True
-        self._selection.note_broken(backend, now)
         is_timeout = isinstance(error, ExchangeTimeout)
-        if not is_timeout or case.deadline - now <= LEAST_SEND_S:
-            backend.load.note_fault(now)
+        self._blame(case, backend, now, is_timeout=is_timeout)
         self._observe(case, failed=True, latency_s=case.route.timeout_s)
         if not case.route.repeatable:
             raise OutcomeUnknown(f"{error}; the request may have run")
@@ -271,6 +269,21 @@
         if not self._may_repeat(case):
             raise UpstreamFailed(f"{error}; send it again")
 
+    def _blame(
+        self, case: Case, backend: Backend, now: float, *, is_timeout: bool
+    ) -> None:
+        """Record what a broken exchange tells of the upstream.
+
+        A timeout tells of the request's time as well: an upstream that
+        answers others hasn't restarted, and one that had less time than
+        it usually takes isn't faulty.
+        """
+        if not is_timeout or backend.load.is_quiet(now):
+            self._selection.note_broken(backend, now)
+        sent_at = case.started + case.last_send.waited_s
+        if not is_timeout or backend.load.is_fair(now - sent_at):
+            backend.load.note_fault(now)
+
     def _check_time(self, case: Case, now: float) -> None:
         if case.deadline - now >= LEAST_SEND_S:
             return
--- /dev/null
+++ b/tests/edge/test_timeouts.py
@@ -0,0 +1,83 @@
+"""What timeouts of exchanges tell of an upstream."""
+
+import pytest
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._core.backlog import ColdSign
+from gypsummount._core.backlog import FAULTS_TO_EJECT
+from gypsummount._core.backlog import UpstreamLoad
+from gypsummount._core.catalog import UpstreamRecord
+from gypsummount._edge.admission import Send
+from gypsummount._edge.backends import Backend
+from gypsummount._edge.proxy import Proxy
+from gypsummount._entry.exchanges import ExchangeError
+from gypsummount._entry.exchanges import ExchangeTimeout
+from gypsummount.errors import OutcomeUnknown
+from gypsummount.errors import UpstreamFailed
+from tests.edge.test_front import create_case
+
+LATENCY_S = 0.2
+
+
+class _Selection:
+    def note_broken(self, backend, now):
+        backend.load.note_doubt(now, 3.0, ColdSign.BROKEN_EXCHANGE)
+
+
+@pytest.fixture
+def proxy():
+    return Proxy(None, _Selection(), None, None, None, "r")
+
+
+@pytest.fixture
+def backend():
+    record = UpstreamRecord("i-1", "s", "127.0.0.1:1", "d", "v1", 4, True)
+    made = Backend(UpstreamLoad(record), None, "r")
+    made.load.note_success(LATENCY_S, 1)
+    return made
+
+
+def judge(proxy, backend, *, sent_s, answered_s, error=None):
+    """Judge an exchange; both times are seconds ago."""
+    now = read_monotonic()
+    backend.load.note_start(now - sent_s)
+    backend.load.note_heard(now - answered_s)
+    backend.load.note_end()
+    case = create_case(None, now - sent_s - 0.1)
+    case.deadline = now
+    case.sends = case.route.attempts
+    case.last_send = Send("i-1", "r", 0, 1.0, 0.1)
+    with pytest.raises((OutcomeUnknown, UpstreamFailed)):
+        proxy._judge_failure(
+            case, backend, error or ExchangeTimeout("late", sent=True)
+        )
+
+
+class TestDoubts:
+    def test_upstream_that_answers_others_is_not_doubted(self, proxy, backend):
+        """Guards against healthy upstreams that a crowd turns cold."""
+        judge(proxy, backend, sent_s=0.4, answered_s=0.05)
+        assert not backend.load.is_cold(read_monotonic())
+
+    def test_quiet_upstream_is_doubted(self, proxy, backend):
+        judge(proxy, backend, sent_s=1.1, answered_s=1.2)
+        assert backend.load.is_doubted(read_monotonic())
+
+    def test_upstream_that_breaks_off_is_doubted(self, proxy, backend):
+        error = ExchangeError("the answer was cut", sent=True)
+        proxy._may_repeat = lambda case: False
+        judge(proxy, backend, sent_s=0.1, answered_s=0.0, error=error)
+        assert backend.load.is_doubted(read_monotonic())
+
+
+class TestFaults:
+    def test_too_little_time_is_no_fault_of_the_upstream(self, proxy, backend):
+        """Guards against ejections by requests that came late."""
+        for _ in range(FAULTS_TO_EJECT):
+            judge(proxy, backend, sent_s=0.05, answered_s=0.0)
+        assert backend.load.can_take(read_monotonic())
+
+    def test_timeouts_with_time_enough_eject(self, proxy, backend):
+        for _ in range(FAULTS_TO_EJECT):
+            judge(proxy, backend, sent_s=1.1, answered_s=0.0)
+        assert not backend.load.can_take(read_monotonic())
