Take no configuration whose routes can't be served

What callers could see: CONFIG, 'an invalid one was taken'. The decoder checked shapes only: a split without weight made each request of its route fail; a key of two workspaces or two routes with one prefix silently kept the last; weights and times that are not finite broke shares and time-outs. Cause: validity was left to who writes. Class: trust in another's check. Change: the catalog checks itself when it is complete. What fails is an invalid record: the old configuration stays whole, and the log says why. Tests: platform/test_decoders.py, 11 cases failed before.

--- a/src/gypsummount/_core/catalog.py
+++ b/src/gypsummount/_core/catalog.py
@@ -2,6 +2,9 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from math import isfinite
+
+from gypsummount.errors import ConfigError
 
 NO_HOMES: frozenset[str] = frozenset()
 
@@ -81,8 +84,65 @@
     hosts: dict[str, dict[str, EdgeRoute]] = field(default_factory=dict)
 
     def add_route(self, route: EdgeRoute) -> None:
-        """Index a route by its host and prefix."""
-        self.hosts.setdefault(route.host, {})[route.prefix] = route
+        """Index a route by its host and prefix.
+
+        :raises ConfigError: when another route has both.
+        """
+        routes = self.hosts.setdefault(route.host, {})
+        if route.prefix in routes:
+            raise ConfigError(
+                f"two routes of {route.host} have the prefix "
+                f"{route.prefix}; remove one"
+            )
+        routes[route.prefix] = route
+
+    def add_key(self, key: str, workspace: str) -> None:
+        """Let a workspace hold a key.
+
+        :raises ConfigError: when another workspace holds it.
+        """
+        owner = self.owners.setdefault(key, workspace)
+        if owner != workspace:
+            raise ConfigError(
+                f"the workspaces {owner} and {workspace} hold the same key; "
+                "give each its own"
+            )
+
+    def check(self) -> None:
+        """Check what only the whole configuration shows.
+
+        :raises ConfigError: when a route can't be served.
+        """
+        for routes in self.hosts.values():
+            for route in routes.values():
+                self._check_route(route)
+
+    def _check_route(self, route: EdgeRoute) -> None:
+        for name, value in (
+            ("time-out", route.timeout_s),
+            ("objective", route.objective_s),
+            ("number of attempts", route.attempts),
+        ):
+            if not isfinite(value) or value <= 0:
+                raise ConfigError(
+                    f"route {route.name} has {value} as its {name}; "
+                    "give a positive number"
+                )
+        if not route.destinations:
+            raise ConfigError(
+                f"no service of route {route.name} has a weight; give one"
+            )
+        for one in route.destinations:
+            if not isfinite(one.weight) or one.weight < 0:
+                raise ConfigError(
+                    f"route {route.name} gives {one.service} the weight "
+                    f"{one.weight}; give a positive number"
+                )
+            if one.service not in self.services:
+                raise ConfigError(
+                    f"route {route.name} leads to {one.service}, which is "
+                    "no service; add it or change the route"
+                )
 
     def find_route(self, host: str, path: str) -> EdgeRoute | None:
         """Return the route with the longest prefix of the path.
--- a/src/gypsummount/platform/documents.py
+++ b/src/gypsummount/platform/documents.py
@@ -17,6 +17,7 @@
 from gypsummount._edge.feed import Kind
 from gypsummount._edge.feed import Record
 from gypsummount._edge.feed import Value
+from gypsummount.errors import ConfigError
 from gypsummount.errors import RecordInvalid
 
 DEFAULT_TIMEOUT_S = 30.0
@@ -41,6 +42,8 @@
         if record.kind is Kind.INSTANCE:
             return InstanceRecord(record.name, _read_text(body, "host"))
         return None
+    except ConfigError as error:
+        raise RecordInvalid(f"{error}; look who writes it") from None
     except DECODING_ERRORS as error:
         raise RecordInvalid(
             f"it is incomplete or of another shape ({error!r}); look who "
@@ -65,10 +68,11 @@
         workspace = _decode_workspace(raw)
         catalog.workspaces[workspace.name] = workspace
         for key in raw["apiKeys"]:
-            catalog.owners[key] = workspace.name
+            catalog.add_key(key, workspace.name)
     for listener in body["listeners"]:
         for rule in listener["rules"]:
             catalog.add_route(_decode_route(listener["host"], rule))
+    catalog.check()
     return catalog
 
 
@@ -108,7 +112,7 @@
     return tuple(
         Destination(part["service"], float(part["weight"]))
         for part in parts
-        if float(part["weight"]) > 0
+        if float(part["weight"]) != 0
     )
 
 
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -125,6 +125,55 @@
         assert decode(kind, b"[" * 100_000) is None
 
 
+RULE = ("listeners", 0, "rules", 0)
+
+
+def build_split(*weights):
+    parts = [{"service": "s", "weight": weight} for weight in weights]
+    return {"trafficSplit": parts, "timeoutS": 1.0, "attempts": 2}
+
+
+class TestConfigurationsWithoutSense:
+    """Guards against configurations that stop routes when in force."""
+
+    @pytest.mark.parametrize(
+        ("path", "value", "reason"),
+        [
+            ((*RULE, "action"), build_split(0, 0), "weight"),
+            ((*RULE, "action"), build_split(1, float("nan")), "weight"),
+            ((*RULE, "action"), build_split(1, float("inf")), "weight"),
+            ((*RULE, "action"), build_split(1, -1), "weight"),
+            ((*RULE, "action", "service"), "gone", "no service"),
+            ((*RULE, "action", "timeoutS"), float("nan"), "time-out"),
+            ((*RULE, "action", "timeoutS"), -1, "time-out"),
+            ((*RULE, "action", "attempts"), -1, "attempts"),
+            ((*RULE, "targetLatencyS"), float("inf"), "objective"),
+            ((*RULE, "match", "pathPrefix"), "/book/", "prefix"),
+        ],
+    )
+    def test_it_is_not_taken_and_says_why(self, path, value, reason):
+        body = replace_part(WHOLE[Kind.CATALOG], path, value)
+        payload = dumps({"metadata": {}, "specification": body}).encode()
+        with pytest.raises(RecordInvalid, match=reason):
+            decode_record(Record(Kind.CATALOG, "n", 7, payload))
+
+    def test_key_of_two_workspaces_is_not_taken(self):
+        first = WHOLE[Kind.CATALOG]["tenants"][0]
+        both = [first, {**first, "name": "other"}]
+        body = {**WHOLE[Kind.CATALOG], "tenants": both}
+        payload = dumps({"metadata": {}, "specification": body}).encode()
+        with pytest.raises(RecordInvalid, match="same key"):
+            decode_record(Record(Kind.CATALOG, "n", 7, payload))
+
+    def test_part_without_weight_takes_nothing(self):
+        path = (*RULE, "action")
+        body = replace_part(WHOLE[Kind.CATALOG], path, build_split(0, 1))
+        payload = dumps({"metadata": {}, "specification": body}).encode()
+        catalog = decode_record(Record(Kind.CATALOG, "n", 7, payload))
+        route = catalog.find_route("h.example", "/read/x")
+        assert [one.weight for one in route.destinations] == [1.0]
+
+
 class TestPeers:
     @settings(max_examples=EXAMPLES, deadline=None)
     @given(
