--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -30,7 +30,6 @@
 from gypsummount._edge.digests import NO_ECHO
 from gypsummount._edge.digests import SERVING
 from gypsummount._edge.digests import STARTING
-from gypsummount._edge.exposition import write_exposition
 from gypsummount._edge.feed import Feed
 from gypsummount._edge.feed import InstanceRecord
 from gypsummount._edge.feed import Kind
@@ -48,14 +47,13 @@
 from gypsummount._edge.selection import Selection
 from gypsummount._edge.settings import EdgeSettings
 from gypsummount._edge.sharing import RecordServer
+from gypsummount._edge.status import EdgeStatus
 from gypsummount._edge.wire import Wire
 from gypsummount.errors import StoreError
 
 PLAN_S = 0.1
 DRIVE_S = 0.3
 PROVE_S = 0.2
-# A step that comes this much (s) after its time is logged.
-LATE_STEP_S = 0.3
 # A proof of this age (s) means that no news come.
 ISOLATED_S = 2.0
 REGISTER_S = 1.0
@@ -135,6 +133,14 @@
             self._rounds,
             settings.most_connections,
         )
+        self._status = EdgeStatus(
+            self.metrics,
+            self._rounds,
+            self.front,
+            self.peers,
+            self.belief,
+            self._mirror,
+        )
 
     @property
     def phase(self) -> str:
@@ -175,24 +181,7 @@
 
     def write_metrics(self) -> str:
         """Return counters, latencies and gauges as text."""
-        now = read_monotonic()
-        age_s = self.belief.proof.find_age(now)
-        gauges = {
-            "in_flight": float(self.front.in_flight),
-            "callers_left_unread": float(self.front.left_unread),
-            "connections_ended_idle": float(self.front.ended_idle),
-            "connections_open": float(self.front.connections),
-            "round_seconds": self._rounds.span_s,
-            "peers_live": float(len(self.peers.list_live(now))),
-            "store_connected": float(self._mirror.contact.is_connected),
-            "configuration_revision": float(self.belief.catalog_revision),
-            "proof_age_seconds": -1.0 if age_s is None else age_s,
-            "configuration_unreadable": float(
-                not self.belief.has_newest_catalog
-            ),
-            "upstreams_known": float(len(self.belief.upstreams)),
-        }
-        return write_exposition(self.metrics, gauges, now)
+        return self._status.write_metrics()
 
     async def run(self) -> None:
         """Serve until stopped and everything under way has ended."""
@@ -283,7 +272,7 @@
 
     async def _plan(self) -> None:
         now = read_monotonic()
-        self._note_lateness(now)
+        self._status.note_step(now - self._planned_at - PLAN_S)
         self.belief.expire_held(now)
         self._follow_fleet(now)
         self._check_isolation(now)
@@ -298,20 +287,6 @@
         self._following.check_proof(now)
         self._planned_at = read_monotonic()
 
-    def _note_lateness(self, now: float) -> None:
-        """Log a wait that came of a busy or suspended process."""
-        late_s = now - self._planned_at - PLAN_S
-        if late_s > LATE_STEP_S:
-            _log.warning(
-                "The process was late by %.2f s.",
-                late_s,
-                extra={
-                    "in_flight": self.front.in_flight,
-                    "connections": self.front.connections,
-                    "round_ms": round(self._rounds.span_s * MS_PER_S, 1),
-                },
-            )
-
     def _check_isolation(self, now: float) -> None:
         """Tell the selection while neither store nor peers give news.
 
--- /dev/null
+++ b/src/gypsummount/_edge/status.py
@@ -0,0 +1,72 @@
+"""What an edge process tells of itself: metrics and late steps."""
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._common.logs import get_logger
+from gypsummount._common.metrics import Metrics
+from gypsummount._common.rounds import Rounds
+from gypsummount._edge.belief import Belief
+from gypsummount._edge.exposition import write_exposition
+from gypsummount._edge.front import EdgeFront
+from gypsummount._edge.mirror import Mirror
+from gypsummount._edge.peers import Peers
+
+# A step that comes this much (s) after its time is logged.
+LATE_STEP_S = 0.3
+MS_PER_S = 1000
+
+_log = get_logger("process")
+
+
+class EdgeStatus:
+    """Gauges of the parts of a process, and a log of its lateness."""
+
+    def __init__(
+        self,
+        metrics: Metrics,
+        rounds: Rounds,
+        front: EdgeFront,
+        peers: Peers,
+        belief: Belief,
+        mirror: Mirror,
+    ) -> None:
+        self._metrics = metrics
+        self._rounds = rounds
+        self._front = front
+        self._peers = peers
+        self._belief = belief
+        self._mirror = mirror
+
+    def write_metrics(self) -> str:
+        """Return counters, latencies and gauges as text."""
+        now = read_monotonic()
+        front = self._front
+        belief = self._belief
+        age_s = belief.proof.find_age(now)
+        gauges = {
+            "in_flight": float(front.in_flight),
+            "callers_left_unread": float(front.left_unread),
+            "connections_ended_idle": float(front.ended_idle),
+            "connections_open": float(front.connections),
+            "round_seconds": self._rounds.span_s,
+            "peers_live": float(len(self._peers.list_live(now))),
+            "store_connected": float(self._mirror.contact.is_connected),
+            "configuration_revision": float(belief.catalog_revision),
+            "proof_age_seconds": -1.0 if age_s is None else age_s,
+            "configuration_unreadable": float(not belief.has_newest_catalog),
+            "upstreams_known": float(len(belief.upstreams)),
+        }
+        return write_exposition(self._metrics, gauges, now)
+
+    def note_step(self, late_s: float) -> None:
+        """Log a wait (s) that came of a busy or suspended process."""
+        if late_s <= LATE_STEP_S:
+            return
+        _log.warning(
+            "The process was late by %.2f s.",
+            late_s,
+            extra={
+                "in_flight": self._front.in_flight,
+                "connections": self._front.connections,
+                "round_ms": round(self._rounds.span_s * MS_PER_S, 1),
+            },
+        )
