Wait for a token no longer than the request lasts

Class: a wait without the deadline of what waits. Change: the wait is limited by the time left; a request whose time is over when it is admitted is refused at once, as not run.

--- a/src/gypsummount/_edge/admission.py
+++ b/src/gypsummount/_edge/admission.py
@@ -24,6 +24,7 @@
 from gypsummount.errors import KeyMissing
 from gypsummount.errors import KeyRefused
 from gypsummount.errors import KeyStale
+from gypsummount.errors import NoCapacity
 from gypsummount.errors import NotReady
 from gypsummount.errors import RateExceeded
 from gypsummount.errors import RequestError
@@ -210,7 +211,12 @@
         """Take a token of the workspace's rate, waiting a little for it.
 
         :raises RateExceeded: when none comes in time.
+        :raises NoCapacity: when the request's time is already over.
         """
+        now = read_monotonic()
+        left_s = case.deadline - now
+        if left_s <= 0:
+            raise NoCapacity("the request was read too late; come back later")
         workspace = case.workspace
         if workspace is None:
             return
@@ -218,8 +224,8 @@
             workspace.name,
             workspace.rate,
             workspace.burst,
-            read_monotonic(),
-            patience_s=case.route.objective_s * TOKEN_WAIT_PART,
+            now,
+            patience_s=min(case.route.objective_s * TOKEN_WAIT_PART, left_s),
         )
         if wait_s is None:
             raise self._build_over(workspace)
--- a/tests/edge/test_sends.py
+++ b/tests/edge/test_sends.py
@@ -5,6 +5,7 @@
 import pytest
 
 from gypsummount._common.clocks import read_monotonic
+from gypsummount._core.catalog import EdgeWorkspace
 from gypsummount._core.freshness import FreshnessProof
 from gypsummount._core.quotas import QuotaShares
 from gypsummount._edge.admission import Admission
@@ -12,6 +13,8 @@
 from gypsummount._entry.connections import ConnectionPool
 from gypsummount._entry.exchanges import UpstreamRequest
 from gypsummount.errors import CallerLeft
+from gypsummount.errors import NoCapacity
+from gypsummount.errors import RateExceeded
 from tests.edge.test_front import create_case
 from tests.entry.wires import build_answer
 from tests.entry.wires import read_request
@@ -65,6 +68,38 @@
         admission.check_again(case)
 
 
+class TestTokens:
+    @pytest.fixture
+    def quotas(self):
+        return QuotaShares(1.0)
+
+    def admit(self, quotas, *, left_s):
+        """Admit a request of a workspace that has spent its tokens."""
+        now = read_monotonic()
+        belief = Belief(None, FreshnessProof(4.0))
+        case = create_case(None, now, due_s=1.0)
+        case.workspace = EdgeWorkspace("w", 10.0, 2.0, 0)
+        case.deadline = now + left_s
+        for _ in range(2):
+            quotas.take("w", 10.0, 2.0, now, patience_s=0.0)
+        return Admission(belief, quotas, None, None).admit(case)
+
+    async def test_token_that_comes_after_the_deadline_is_not_awaited(
+        self, quotas
+    ):
+        """Guards against requests held past their time for a token."""
+        with pytest.raises(RateExceeded):
+            await self.admit(quotas, left_s=0.02)
+
+    async def test_token_that_comes_in_time_is_awaited(self, quotas):
+        await self.admit(quotas, left_s=0.5)
+
+    async def test_request_whose_time_is_over_is_refused_at_once(self, quotas):
+        """Guards against work on requests that were read too late."""
+        with pytest.raises(NoCapacity, match="too late"):
+            await self.admit(quotas, left_s=-0.1)
+
+
 class TestBuildAtTheSend:
     async def test_caller_that_left_during_the_connect_gets_no_send(
         self, upstream
