Look at key and time at an entry when a request is sent

The entry builds a request now when it has a connection. Test: entry/test_steering.py::TestLastLook, failed before (a key that is withdrawn during the connect ran).

--- a/src/gypsummount/_entry/upstreams.py
+++ b/src/gypsummount/_entry/upstreams.py
@@ -161,10 +161,9 @@
         limit_s = request.deadline - started
         is_clean = False
         try:
-            self._check_key(request)
-            self._check_deadline(request, started)
-            answer = await upstream.pool.send(
-                _build_request(request, limit_s),
+            self._check_deadline(limit_s)
+            answer = await upstream.pool.send_built(
+                lambda left_s: self._build(request, left_s),
                 limit_s,
                 repeatable=request.route.repeatable,
                 new_only=new_only,
@@ -182,13 +181,21 @@
         self._note_answer(upstream, answer, read_monotonic() - started)
         return answer
 
+    def _build(
+        self, request: SteeredRequest, left_s: float
+    ) -> UpstreamRequest:
+        """Return what is sent now, after a last look."""
+        self._check_key(request)
+        self._check_deadline(left_s)
+        return _build_request(request, left_s)
+
     def _check_key(self, request: SteeredRequest) -> None:
         digest = request.key_digest
         if digest and not self._snapshot.keys.has_digest(digest):
             raise KeyRefused("the key was withdrawn; ask for a new one")
 
-    def _check_deadline(self, request: SteeredRequest, now: float) -> None:
-        if now >= request.deadline:
+    def _check_deadline(self, left_s: float) -> None:
+        if left_s <= 0:
             raise ExchangeError(
                 "the deadline passed before the request was sent",
                 sent=False,
@@ -232,9 +239,9 @@
             _log.warning("Ejected %s: %s", upstream.name.server, error)
 
 
-def _build_request(request: SteeredRequest, limit_s: float) -> UpstreamRequest:
+def _build_request(request: SteeredRequest, left_s: float) -> UpstreamRequest:
     headers = list(request.headers)
-    left_ms = max(1, int(limit_s * MS_PER_S))
+    left_ms = max(1, int(left_s * MS_PER_S))
     headers.append(Header(DEADLINE_HEADER, str(left_ms)))
     headers.append(Header(WORKSPACE_HEADER, request.workspace))
     return UpstreamRequest(
--- a/tests/entry/test_steering.py
+++ b/tests/entry/test_steering.py
@@ -10,6 +10,7 @@
 
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._core.health import FAULTS_TO_EJECT
+from gypsummount._entry.connections import ConnectionPool
 from tests.entry.lone import read_code
 from tests.entry.lone import read_outcome
 
@@ -252,6 +253,25 @@
                 assert counts[text] == 0
 
 
+class TestLastLook:
+    async def test_key_withdrawn_during_the_connect_is_not_used(
+        self, lone, monkeypatch
+    ):
+        """Guards against keys that were looked at before a wait."""
+        key = lone.grant("w")
+        connect = ConnectionPool._open
+
+        async def connect_and_withdraw(pool, limit_s):
+            connection = await connect(pool, limit_s)
+            lone.withdraw_all()
+            return connection
+
+        monkeypatch.setattr(ConnectionPool, "_open", connect_and_withdraw)
+        response = await lone.call("/rondas", key)
+        assert (response.code, read_code(response)) == (403, "key_refused")
+        assert lone.count_runs("rondas") == 0
+
+
 class TestLeavingUpstream:
     async def test_drained_upstream_gets_no_new_work(self, lone):
         key = lone.grant("w")
