Let the model have callers that leave, lowered limits and busy processes

A busy process is modelled by the two rounds that a connect takes. Not in the model: processor time itself, splits.

--- a/tests/model/fleet.py
+++ b/tests/model/fleet.py
@@ -5,6 +5,7 @@
 from asyncio import get_running_loop
 from asyncio import shield
 from asyncio import sleep
+from asyncio import timeout_at
 from asyncio import wait_for
 from contextlib import AsyncExitStack
 from contextvars import copy_context
@@ -23,6 +24,7 @@
 from gypsummount._entry.exchanges import ExchangeError
 from gypsummount._entry.exchanges import ExchangeTimeout
 from gypsummount._entry.exchanges import UpstreamAnswer
+from gypsummount.errors import CallerLeft
 from gypsummount.errors import RequestError
 from gypsummount.platform.wire import PlatformWire
 from tests.model.clock import INCARNATION
@@ -91,13 +93,18 @@
 
 @dataclass(slots=True)
 class Machine:
-    """A machine, what runs on it and when it was last disturbed."""
+    """A machine, what runs on it and when it was last disturbed.
+
+    ``round_s`` is how long a round of its process takes; a connect takes
+    two of them.
+    """
 
     name: str
     host: str
     links: Links
     rate: float
     current: Incarnation | None = None
+    round_s: float = 0.0
     disturbed_at: float = float("-inf")
 
     @property
@@ -178,18 +185,12 @@
     return encode_copy(copy)
 
 
-class _WaitingCaller:
-    """A caller that never leaves."""
-
-    def has_left(self):
-        return False
-
-
 class Fleet:
     """Machines, upstreams and the store between which they act."""
 
-    def __init__(self, store, random, regions):
+    def __init__(self, store, random, regions, callers):
         self.store = store
+        self.callers = callers
         self.random = random
         self.regions = regions
         self.machines = {}
@@ -282,9 +283,10 @@
         while True:
             await sleep(self.random.expovariate(made.machine.rate))
             if made.process.phase == "serving":
-                create_task(self._send_request(made.process))
+                create_task(self._send_request(made))
 
-    async def _send_request(self, process):
+    async def _send_request(self, made):
+        process = made.process
         self._requests += 1
         number = str(self._requests)
         place = str(self.random.randrange(OBJECTS))
@@ -300,9 +302,16 @@
             place,
             PATIENCE_S,
         )
+        caller = self.callers.create(number)
+        run = process.front._proxy.run(arrival, caller, caller.came_at)
+        timeout_s = self._find_timeout(process)
         try:
-            await process.front._proxy.run(
-                arrival, _WaitingCaller(), read_monotonic()
-            )
-        except RequestError:
-            return
+            async with timeout_at(caller.noticed_at):
+                await run
+        except (RequestError, CallerLeft, TimeoutError):
+            pass
+        self.callers.note_end(caller, timeout_s, made.machine)
+
+    def _find_timeout(self, process):
+        route = process.belief.catalog.find_route("h.example", "/read/x")
+        return min(route.timeout_s, PATIENCE_S)
--- a/tests/model/run.py
+++ b/tests/model/run.py
@@ -11,12 +11,15 @@
 from gypsummount._edge import following
 from gypsummount._edge import process
 from gypsummount._edge.feed import Kind
+from tests.model.callers import Callers
+from tests.model.callers import Habits
 from tests.model.clock import VirtualLoop
 from tests.model.fleet import Fleet
 from tests.model.fleet import PeerPool
 from tests.model.judge import Judge
 from tests.model.store import ModelStore
 from tests.model.troubles import Operator
+from tests.model.troubles import TIMEOUT_S
 from tests.model.troubles import Troubles
 from tests.model.upstreams import ModelPool
 from tests.model.upstreams import ModelUpstream
@@ -30,11 +33,18 @@
 SPAN_S = 10.0
 TAIL_S = 5.0
 MOST_TROUBLES = 6
+PATIENT = Habits()
 
 
-def run_seed(seed, *, script=None):
+def run_seed(
+    seed, *, script=None, habits=PATIENT, timeouts=(TIMEOUT_S,), load=1.0
+):
     """Return what was found in the run of a seed.
 
+    ``habits`` are those of callers, ``timeouts`` (s) what versions of the
+    configuration give the route in turn, ``load`` how many times the
+    usual number of requests comes.
+
     ``script`` takes the fleet, the operator and the random numbers and
     replaces the drawn troubles.
     """
@@ -45,23 +55,27 @@
         patches.setattr(backends, "ConnectionPool", ModelPool)
         patches.setattr(following, "ConnectionPool", PeerPool)
         try:
-            return loop.run_until_complete(_run(Random(seed), script))
+            callers = Callers(habits, seed)
+            run = _run(Random(seed), script, callers, timeouts, load)
+            return loop.run_until_complete(run)
         finally:
             loop.end()
 
 
-async def _run(random, script):
+async def _run(random, script, callers, timeouts, load):
     store = ModelStore()
-    fleet = Fleet(store, random, REGIONS)
+    fleet = Fleet(store, random, REGIONS, callers)
     ModelPool.network = fleet
     PeerPool.network = fleet
     judge = Judge(fleet)
-    operator = Operator(fleet, judge)
+    operator = Operator(fleet, judge, timeouts)
     operator.change_config()
     for number, domain in enumerate(UPSTREAMS):
         _add_upstream(fleet, number, domain)
     for number, domain in enumerate(MACHINES):
-        machine = fleet.add_machine(number + 1, domain, RATE_PER_MACHINE)
+        machine = fleet.add_machine(
+            number + 1, domain, RATE_PER_MACHINE * load
+        )
         fleet.start(machine)
     create_task(judge.run())
     await sleep(WARM_UP_S)
@@ -71,7 +85,7 @@
         troubles = Troubles(fleet, operator, random)
         await troubles.run(SPAN_S, random.randint(1, MOST_TROUBLES))
     await sleep(TAIL_S)
-    return judge.list_findings()
+    return [*judge.list_findings(), *callers.breaches[:1]]
 
 
 def _add_upstream(fleet, number, domain):
--- a/tests/model/test_fleet.py
+++ b/tests/model/test_fleet.py
@@ -7,6 +7,7 @@
 
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._edge.feed import Kind
+from tests.model.callers import Habits
 from tests.model.run import run_seed
 from tests.model.troubles import Troubles
 
@@ -134,3 +135,33 @@
             quotas.take("w", 100.0, 100.0, now, patience_s=0.0)
             shares.append(quotas.find_share("w"))
     return sum(shares)
+
+
+def list_breaches(found, rule):
+    return [one for one in found if getattr(one, "rule", None) == rule]
+
+
+LOWERED = (1.2, 0.4, 0.7)
+
+
+async def keep_busy(fleet, operator, random):
+    """Let the processes of two machines be short of time."""
+    for machine in list(fleet.machines.values())[:2]:
+        machine.round_s = 0.35
+    await sleep(6.0)
+
+
+class TestCallers:
+    @pytest.mark.parametrize("seed", [7100, 7101, 7102])
+    @pytest.mark.parametrize("is_noticed", [True, False])
+    def test_crowd_that_leaves_early_is_not_worked_for(self, seed, is_noticed):
+        """Guards against sends for callers that have left (GONE)."""
+        habits = Habits(leaving=0.4, within_s=0.2, is_noticed=is_noticed)
+        found = run_seed(seed, habits=habits, load=2.5, script=keep_busy)
+        assert list_breaches(found, "gone") == []
+
+    @pytest.mark.parametrize("seed", [7200, 7201, 7202])
+    def test_lowered_timeouts_hold_beside_troubles(self, seed):
+        """Guards against requests held past their route's time (CONFIG)."""
+        found = run_seed(seed, timeouts=LOWERED, load=2.5)
+        assert list_breaches(found, "held") == []
--- a/tests/model/troubles.py
+++ b/tests/model/troubles.py
@@ -11,13 +11,15 @@
 
 STORM_STEPS = 10
 STORM_GAP_S = 0.33
+TIMEOUT_S = 1.2
 
 
 class Operator:
     """Changes the configuration; keeps what was acknowledged."""
 
-    def __init__(self, fleet, judge):
+    def __init__(self, fleet, judge, timeouts=(TIMEOUT_S,)):
         self._fleet = fleet
+        self._timeouts = timeouts
         self._judge = judge
         self._version = 0
 
@@ -26,7 +28,8 @@
             return
         self._version += 1
         now = read_monotonic()
-        body = build_config(self._version)
+        timeout_s = self._timeouts[self._version % len(self._timeouts)]
+        body = build_config(self._version, timeout_s)
         self._fleet.store.put(Kind.CATALOG, "main", body)
         self._judge.versions.append(Acknowledgement(str(self._version), now))
 
@@ -64,7 +67,7 @@
                 upstream.turn_cold()
 
 
-def build_config(version):
+def build_config(version, timeout_s):
     """Return a configuration; no route needs a key."""
     rule = {
         "name": "read",
@@ -73,7 +76,7 @@
         "priority": 1,
         "public": True,
         "match": {"pathPrefix": "/read/"},
-        "action": {"service": "s", "timeoutS": 1.2, "attempts": 2},
+        "action": {"service": "s", "timeoutS": timeout_s, "attempts": 2},
     }
     return {
         "version": version,
--- a/tests/model/upstreams.py
+++ b/tests/model/upstreams.py
@@ -226,6 +226,7 @@
 
     async def _open(self, upstream, limit_s):
         links = self._owner.machine.links
+        await sleep(2 * self._owner.machine.round_s)
         if upstream.is_dark or not links.reaches_upstreams:
             await sleep(limit_s)
             raise ExchangeError("no connection in time", sent=False)
@@ -237,6 +238,7 @@
     async def _exchange(self, upstream, start, request):
         links = self._owner.machine.links
         sent_at = get_running_loop().time()
+        self.network.callers.note_send(request.request_id, self._owner.machine)
         delay_s = links.find_delay(upstream.region, upstream.domain)
         await sleep(delay_s)
         if upstream.is_dark or not links.reaches_upstreams:
