--- a/tests/entry/test_connections.py
+++ b/tests/entry/test_connections.py
@@ -2,7 +2,9 @@
 
 from asyncio import CancelledError
 from asyncio import create_task
+from asyncio import Event
 from asyncio import sleep
+from asyncio import wait_for
 
 import pytest
 
@@ -132,6 +134,47 @@
             assert upstream.connections == 3
 
 
+class TestBytesWithoutEnd:
+    """Guards against answers that go on until the connection closes."""
+
+    @pytest.mark.parametrize(
+        ("start", "more"),
+        [
+            (b"HTTP/1.1 200 OK\r\n", b"x-more: 1\r\n"),
+            (b"", b"garbage"),
+            (b"HTTP/1.1 200 OK\r\n\r\n", b"body"),
+            (
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                b"4\r\nbody\r\n",
+            ),
+            (b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", b"body"),
+        ],
+        ids=["headers", "garbage", "unframed", "chunks", "beyond_length"],
+    )
+    async def test_exchange_ends_and_closes_the_connection(self, start, more):
+        ended = Event()
+
+        async def serve_without_end(reader, writer):
+            await read_request(reader)
+            writer.write(start)
+            try:
+                while True:
+                    writer.write(more * 1000)
+                    await writer.drain()
+            finally:
+                ended.set()
+
+        async with ScriptedUpstream(serve_without_end) as upstream:
+            pool = ConnectionPool(upstream.address)
+            try:
+                await send(pool)
+            except ExchangeError as error:
+                assert error.sent
+            assert pool.idle == 0
+            await wait_for(ended.wait(), 1.0)
+            pool.close()
+
+
 class TestBrokenAnswers:
     async def test_cut_body_is_an_error(self):
         async def serve_cut(reader, writer):
