--- a/src/gypsummount/_edge/front.py
+++ b/src/gypsummount/_edge/front.py
@@ -17,7 +17,7 @@
 from gypsummount._common.rounds import Rounds
 from gypsummount._common.serving import MOST_CONNECTIONS
 from gypsummount._common.serving import RequestServer
-from gypsummount._core.intake import Intake
+from gypsummount._core.shedding import LoadShedder
 from gypsummount._edge.decisions import DecisionLog
 from gypsummount._edge.proxy import Proxy
 from gypsummount._edge.proxy import ProxyOutcome
@@ -56,7 +56,7 @@
         self._metrics = metrics
         self._decisions = decisions
         self._is_ending = False
-        self._intake = Intake()
+        self._shedder = LoadShedder()
 
     def end(self) -> None:
         """Refuse what still arrives, as not run, until the close."""
@@ -67,7 +67,7 @@
             self._write_error(request, _build_leaving())
             return True
         unread_s = self._rounds.find_unread(read_monotonic())
-        if self._intake.take(self._rounds.number, unread_s):
+        if self._shedder.admit(self._rounds.number, unread_s):
             return False
         error = _build_busy()
         self._write_error(request, error)
--- a/tests/core/test_intake.py
+++ b/tests/core/test_shedding.py
@@ -6,9 +6,9 @@
 
 from collections import deque
 
-from gypsummount._core.intake import BUSY_S
-from gypsummount._core.intake import Intake
-from gypsummount._core.intake import LEAST_PER_ROUND
+from gypsummount._core.shedding import BUSY_S
+from gypsummount._core.shedding import LEAST_PER_ROUND
+from gypsummount._core.shedding import LoadShedder
 
 SERVE_S = 0.001
 REFUSE_S = 0.0003
@@ -16,18 +16,18 @@
 SPAN_S = 20.0
 
 
-class EveryRequest(Intake):
-    """The old rule: takes all."""
+class EveryRequest(LoadShedder):
+    """Admits everything."""
 
-    def take(self, number, unread_s):
+    def admit(self, round_number, unread_s):
         return True
 
 
 class BusyProcess:
     """Rounds of a loop; a request takes a step in each of several."""
 
-    def __init__(self, intake, rate):
-        self.intake = intake
+    def __init__(self, shedder, rate):
+        self.shedder = shedder
         self.rate = rate
         self.now = 0.0
         self.before = 0.0
@@ -65,7 +65,7 @@
     def _read(self, number, began):
         while self.backlog:
             came = self.backlog.popleft()
-            if self.intake.take(number, self.now - self.before):
+            if self.shedder.admit(number, self.now - self.before):
                 self.now += SERVE_S / STEPS
                 self.running.append((came, STEPS - 1))
             else:
@@ -76,7 +76,7 @@
 class TestCrowds:
     def test_crowd_does_not_make_all_requests_late(self):
         """Guards against a process that takes on what it cannot serve."""
-        process = BusyProcess(Intake(), rate=1800)
+        process = BusyProcess(LoadShedder(), rate=1800)
         process.run()
         late = sorted(process.served)[int(len(process.served) * 0.99)]
         assert late < 0.3
@@ -89,18 +89,18 @@
 
     def test_crowd_that_even_refusals_cannot_answer_still_gets_service(self):
         """Guards against a process that does nothing but refuse."""
-        process = BusyProcess(Intake(), rate=4000)
+        process = BusyProcess(LoadShedder(), rate=4000)
         process.run()
         assert len(process.served) >= 50
 
     def test_ordinary_load_is_taken_on_whole(self):
-        process = BusyProcess(Intake(), rate=700)
+        process = BusyProcess(LoadShedder(), rate=700)
         process.run()
         assert process.refused == 0
 
     def test_process_that_reads_late_still_takes_some_each_round(self):
-        intake = Intake()
-        taken = [intake.take(1, 10 * BUSY_S) for _ in range(50)]
-        assert sum(taken) == LEAST_PER_ROUND
-        assert intake.take(2, 10 * BUSY_S)
-        assert intake.refused == 50 - LEAST_PER_ROUND
+        shedder = LoadShedder()
+        admitted = [shedder.admit(1, 10 * BUSY_S) for _ in range(50)]
+        assert sum(admitted) == LEAST_PER_ROUND
+        assert shedder.admit(2, 10 * BUSY_S)
+        assert shedder.refused == 50 - LEAST_PER_ROUND
--- a/tests/edge/test_front.py
+++ b/tests/edge/test_front.py
@@ -15,7 +15,7 @@
 from gypsummount._common.rounds import Rounds
 from gypsummount._core.catalog import EdgeRoute
 from gypsummount._core.freshness import FreshnessProof
-from gypsummount._core.intake import LEAST_PER_ROUND
+from gypsummount._core.shedding import LEAST_PER_ROUND
 from gypsummount._edge.admission import Case
 from gypsummount._edge.backends import Need
 from gypsummount._edge.belief import Belief
