--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -128,7 +128,9 @@
             machine.process.wait()
         self._folder.cleanup()
 
-    async def add_server(self, server: Server, service: str) -> None:
+    async def add_server(
+        self, server: Server, service: str, version: str = "v1"
+    ) -> None:
         """Start a server and register it, as no longer cold."""
         port = choose_ports(self._server_host, 1)[0]
         await server.listen(self._server_host, port)
@@ -141,7 +143,7 @@
                 "service": service,
                 "address": f"{self._server_host}:{port}",
                 "zone": list(ZONES)[number % len(ZONES)],
-                "version": "v1",
+                "version": version,
                 "slots": server.slots,
                 "state": "ready",
                 "coldRemainingS": 0,
@@ -150,6 +152,17 @@
             },
         )
 
+    def drain_server(self, server: Server) -> None:
+        """Register a server as draining; it goes on serving."""
+        stored = self.store.read("servers", server.name)
+        specification = {**stored["specification"], "state": "draining"}
+        self.store.write("servers", server.name, specification)
+
+    def stop_server(self, server: Server) -> None:
+        """Stop a server and remove its entry."""
+        server.stop()
+        self.store.remove("servers", server.name)
+
     async def start_machines(self) -> None:
         """Start the process of every machine and wait until all are ready."""
         for number, host in enumerate(self._hosts):
--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -4,6 +4,7 @@
 from asyncio import FIRST_COMPLETED
 from asyncio import gather
 from asyncio import Semaphore
+from asyncio import Server as ListenerSocket
 from asyncio import sleep
 from asyncio import start_server
 from asyncio import StreamReader
@@ -63,12 +64,21 @@
         self._free = Semaphore(slots)
         self._running = 0
         self._waiting = 0
+        self._listener: ListenerSocket | None = None
+        self._writers: set[StreamWriter] = set()
 
     async def listen(self, host: str, port: int) -> None:
         """Serve requests at an address."""
-        await start_server(self._serve, host, port)
+        self._listener = await start_server(self._serve, host, port)
+
+    def stop(self) -> None:
+        """Stop at once: close the listener and all connections."""
+        self._listener.close()
+        for writer in self._writers:
+            writer.close()
 
     async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        self._writers.add(writer)
         try:
             while request := await read_message(reader):
                 if not await self._handle(request, reader, writer):
@@ -76,6 +86,7 @@
         except BROKEN:
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _handle(
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -59,6 +59,13 @@
         self._record(kind, {"object": stored, "deleted": False})
         return stored
 
+    def read(self, kind: str, name: str) -> dict:
+        """Return an object.
+
+        :raises KeyError: when there is none.
+        """
+        return self._objects[kind][name]
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object."""
         self.revision += 1
