--- a/review/standins/clients.py
+++ b/review/standins/clients.py
@@ -100,9 +100,9 @@
         attempt = Attempt(request_id, self._machine, self._record.now())
         self._record.write(f"request {request_id} goes to {self._machine}")
         try:
-            self.writer.write(build_request(method, target, headers, body))
             answer = await wait_for(
-                self.read_answer(self.reader), deadline_s + PATIENCE_S
+                self.exchange(build_request(method, target, headers, body)),
+                deadline_s + PATIENCE_S,
             )
             self._judge(attempt, answer)
         except TimeoutError:
@@ -118,6 +118,11 @@
         )
         return attempt
 
+    async def exchange(self, request: bytes) -> Message | None:
+        """Write a request and return its answer, None if there is none."""
+        self.writer.write(request)
+        return await self.read_answer(self.reader)
+
     async def read_answer(self, reader: StreamReader) -> Message | None:
         """Return the answer, None if the connection ended before it."""
         return await read_message(reader)
