Review case 1: bookings that have run are answered 503 and run twice

Cause: an answer of a server that has run an unsafe request goes to the caller whatever its status, also 503, which promises callers that nothing has run. Change: a script with a server that fails part of what it runs.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,197 +1,145 @@
-"""A planned stop, and clients that still use connections to the machine.
+"""Servers that fail part of the bookings that they run, with status 503.
 
-Clients look the machine up, send one booking and keep the connection.  The
-machine gets SIGTERM.  While the directory's answer is still valid for them,
-each client sends one more booking over its connection.
+Such an answer has no Gypsummount-Not-Executed, so the booking may have run.
+Clients take a 503 for the promise that it has not, and send it once more.
 """
 
 from asyncio import create_task
 from asyncio import gather
 from asyncio import run
 from asyncio import sleep
-from json import loads
+from asyncio import StreamWriter
+from collections import Counter
 import os
 from pathlib import Path
 from random import Random
-from signal import SIGTERM
 import sys
 import traceback
 
 from standins.clients import Attempt
-from standins.clients import call
 from standins.clients import Client
-from standins.clients import CUT
 from standins.deployment import build_config
 from standins.deployment import build_rule
 from standins.deployment import Deployment
-from standins.deployment import GRACE_S
 from standins.deployment import HOST_NAME
 from standins.deployment import KEY
-from standins.deployment import LOOKUP_TTL_FACTOR
 from standins.deployment import Machine
+from standins.http import build_answer
 from standins.record import Record
-from standins.servers import Run
+from standins.servers import ID_HEADER
 from standins.servers import Server
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
-SERVERS = 8
+SERVERS = 7
+GREY_SERVERS = 1  # a share of .14
+GREY_SHARE = 0.45  # of the requests of a grey server fail
 SLOTS = 5
-# Work of a booking at tdv-rondas: 360 ms on average, 1,080 ms at most.
-MIN_WORK_S, MAX_WORK_S = 0.36, 1.08
+WORK_S = 0.1
 TIMEOUT_S = 1.2
 DEADLINE_S = 2.0
-CLIENTS = 40
-# When the clients send their second booking, after the SIGTERM (s).
-FIRST_S, LAST_S = 2.6, 5.3
-# Requests that were sent no later than this after the SIGTERM may be cut
-# in the last sixth of the grace time.
-EXCUSED_SENT_S = 3.0
-PLANNED_S = GRACE_S + 1.0
-SETTLE_S = 4.0
-
-
-class Caller:
-    """A client with its kept connection and the end of its directory data."""
-
-    def __init__(self, client: Client, number: int) -> None:
-        self.client = client
-        self.number = number
-        self.valid_until = 0.0
-
-
-async def look_up(deployment: Deployment, machine: Machine) -> float:
-    """Ask the directory; return for how long some clients keep the answer.
-
-    :raises RuntimeError: when it does not name the machine.
-    """
-    target = f"/-/resolve?name={HOST_NAME}&region=central&zone=central-a"
-    answer = await call(machine.host, deployment.ports.directory, target)
-    document = loads(answer.body)
-    address = f"{machine.host}:{deployment.ports.front}"
-    if address not in document["addresses"]:
-        raise RuntimeError("the directory does not name the machine")
-    return document["ttlS"] * LOOKUP_TTL_FACTOR
-
-
-async def prepare(
+BOOKINGS = 400
+BOOKINGS_PER_S = 40.0
+RETRY_AFTER_S = 0.1  # a client's pause without a Retry-After
+PROMISES = (408, 421, 429, 503)
+SETTLE_S = 5.0
+
+
+class GreyServer(Server):
+    """A server that fails a share of what it runs while ``is_grey``."""
+
+    def __init__(self, name: str, record: Record) -> None:
+        super().__init__(name, SLOTS, lambda: WORK_S, record)
+        self.is_grey = False
+        self._random = Random(name)
+
+    async def write_answer(
+        self, request_id: str, writer: StreamWriter
+    ) -> None:
+        """Write the good answer, or a failure after the run."""
+        if not self.is_grey or self._random.random() >= GREY_SHARE:
+            await super().write_answer(request_id, writer)
+            return
+        headers = {
+            ID_HEADER: request_id,
+            "Gypsummount-Server-Stamp": f"stamp-{self.name}-{request_id}",
+        }
+        writer.write(build_answer(503, headers, b"the database is away"))
+        await writer.drain()
+
+
+async def book(
     deployment: Deployment, machine: Machine, number: int
-) -> Caller:
-    """Look the machine up, connect and send a first booking."""
-    record = deployment.record
-    headers = {"Host": HOST_NAME, "Api-Key": KEY}
-    client = Client(
-        record,
-        machine.name,
-        machine.host,
-        deployment.ports.front,
-        headers,
-    )
-    caller = Caller(client, number)
-    caller.valid_until = record.now() + await look_up(deployment, machine)
-    await client.connect()
-    first = await client.send(
-        "POST", "/book/x", f"first-{number}", DEADLINE_S, b"b" * 400
-    )
-    if first.status != 200:
-        record.write(f"client {number} is not served at first")
-    return caller
-
-
-async def send_second(
-    record: Record, caller: Caller, at: float
-) -> Attempt | None:
-    """Send the second booking at a time, if the machine may still be used."""
-    await sleep(max(0.0, at - record.now()))
-    if record.now() > caller.valid_until:
-        return None
-    request_id = f"second-{caller.number}"
-    return await caller.client.send(
-        "POST", "/book/x", request_id, DEADLINE_S, b"b" * 400
-    )
-
-
-def is_lost(attempt: Attempt, runs: list[Run], stopped_at: float) -> bool:
-    """Tell whether an attempt breaks LOST, with the excuses of the rule.
-
-    The servers of this case never break off, so a cut is the machine's.
-    """
-    waited_s = attempt.ended_at - attempt.sent_at
-    if attempt.outcome != CUT or not runs:
-        return False
-    if attempt.sent_at > stopped_at + PLANNED_S:
-        return False
-    if waited_s >= min(DEADLINE_S, TIMEOUT_S):
-        return False
-    is_sent_early = attempt.sent_at <= stopped_at + EXCUSED_SENT_S
-    is_cut_late = attempt.ended_at >= stopped_at + GRACE_S * 5 / 6
-    return not (is_sent_early and is_cut_late)
+) -> list[Attempt]:
+    """Send a booking, and once more after a promise that it has not run."""
+    attempts = []
+    for count in range(2):
+        client = Client(
+            deployment.record,
+            machine.name,
+            machine.host,
+            deployment.ports.front,
+            {"Host": HOST_NAME, "Api-Key": KEY},
+        )
+        await client.connect()
+        attempts.append(
+            await client.send(
+                "POST", "/book/x", f"booking-{number}/{count}", DEADLINE_S
+            )
+        )
+        client.close()
+        if attempts[-1].status not in PROMISES:
+            break
+        await sleep(RETRY_AFTER_S)
+    return attempts
 
 
 async def play(record: Record, *, trouble: bool) -> int:
     """Run the case; return its exit code."""
-    random = Random(28)
     rules = [build_rule("unsafe", "/book/", "reservas", TIMEOUT_S)]
     config = build_config(rules, ["reservas"])
     async with Deployment(record, config, machines=2) as deployment:
         for number in range(SERVERS):
-            server = Server(
-                f"i-{number}",
-                SLOTS,
-                lambda: random.uniform(MIN_WORK_S, MAX_WORK_S),
-                record,
-            )
+            server = GreyServer(f"i-{number}", record)
+            server.is_grey = trouble and number < GREY_SERVERS
             await deployment.add_server(server, "reservas")
         await deployment.start_machines()
         await sleep(SETTLE_S)
-        machine = deployment.machines[0]
-        callers = []
-        for number in range(CLIENTS):
-            callers.append(create_task(prepare(deployment, machine, number)))
-            await sleep(0.02)
-        callers = await gather(*callers)
-        stopped_at = record.now()
-        if trouble:
-            deployment.send_signal(machine, SIGTERM)
-            create_task(deployment.watch_end(machine))
-        step_s = (LAST_S - FIRST_S) / CLIENTS
-        attempts = await gather(
-            *(
-                send_second(record, caller, stopped_at + FIRST_S + n * step_s)
-                for n, caller in enumerate(callers)
-            )
-        )
-        return judge(record, deployment.servers, attempts, stopped_at)
+        bookings = []
+        for number in range(BOOKINGS):
+            machine = deployment.machines[number % 2]
+            bookings.append(create_task(book(deployment, machine, number)))
+            await sleep(1 / BOOKINGS_PER_S)
+        attempts = sum(await gather(*bookings), [])
+        return judge(record, deployment.servers, attempts)
 
 
 def judge(
-    record: Record,
-    servers: list[Server],
-    attempts: list[Attempt | None],
-    stopped_at: float,
+    record: Record, servers: list[Server], attempts: list[Attempt]
 ) -> int:
-    """Write the verdict on LOST and return the exit code."""
-    sent = [attempt for attempt in attempts if attempt is not None]
-    lost = []
-    for attempt in sent:
-        runs = [
-            run
-            for server in servers
-            for run in server.runs
-            if run.request_id == attempt.request_id
-        ]
-        if is_lost(attempt, runs, stopped_at):
-            lost.append(attempt)
-            record.write(
-                f"LOST: {attempt.request_id}, sent "
-                f"{attempt.sent_at - stopped_at:.2f} s after the stop, ran "
-                f"at {runs[0].server} and was cut "
-                f"{attempt.ended_at - stopped_at:.2f} s after it"
-            )
-    good = sum(attempt.status == 200 for attempt in sent)
-    record.write(f"{len(sent)} sent, {good} served, {len(lost)} lost")
+    """Write the verdict on REFUSED and return the exit code."""
+    runs = Counter(run.request_id for each in servers for run in each.runs)
+    refused = [
+        attempt
+        for attempt in attempts
+        if attempt.status in PROMISES and runs[attempt.request_id]
+    ]
+    for attempt in refused:
+        record.write(
+            f"REFUSED: {attempt.request_id} has run and was answered "
+            f"{attempt.status}"
+        )
+    bookings = Counter(
+        request_id.partition("/")[0] for request_id in runs.elements()
+    )
+    twice = sum(count > 1 for count in bookings.values())
+    good = sum(attempt.status == 200 for attempt in attempts)
+    record.write(
+        f"{len(attempts)} attempts, {good} served, {len(refused)} refused "
+        f"though they had run, {twice} bookings ran twice"
+    )
     if not good:
         return NOT_RUN
-    return BROKEN if lost else HELD
+    return BROKEN if refused else HELD
 
 
 def main() -> int:
