--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -123,6 +123,8 @@
 
     async def __aexit__(self, *error: object) -> None:
         for machine in self.machines:
+            if machine.process is None:
+                continue
             if machine.process.poll() is None:
                 machine.process.kill()
             machine.process.wait()
