--- a/review/standins/program.py
+++ b/review/standins/program.py
@@ -16,14 +16,15 @@
 Play = Callable[..., Awaitable[int]]
 
 
-def run_case(play: Play, folder: Path) -> int:
+def run_case(play: Play, record_path: Path) -> int:
     """Run a case and return its exit code.
 
-    ``play`` gets the record and whether to cause the trouble.  SIGTERM and
-    SIGINT end the case as not run; the processes that it started end too.
+    ``play`` gets the record, which is written to ``record_path``, and whether
+    to cause the trouble.  SIGTERM and SIGINT end the case as not run; the
+    processes that it started end too.
     """
     signal.signal(signal.SIGTERM, signal.default_int_handler)
-    record = Record(folder / "record.txt")
+    record = Record(record_path)
     try:
         return run(play(record, trouble=os.environ.get("TROUBLE") != "0"))
     except (Exception, KeyboardInterrupt, CancelledError):
