Refuse at a stop what may outlast the instance

Cause: one clock ended the drain for all requests; nothing compared it with the time that a request may take. Idle connections are not told of the stop, so callers go on using them.

Change: a request is taken, and sent, only if its time limit ends 0.6 s before the grace time does. Otherwise it is refused at once, as not run. The grace time counts from the signal. What may be repeated is still taken until callers have noticed the stop where its limit is longer than the grace time but it usually ends in time.

--- a/src/gypsummount/_edge/admission.py
+++ b/src/gypsummount/_edge/admission.py
@@ -13,6 +13,7 @@
 from gypsummount._core.catalog import EdgeRoute
 from gypsummount._core.catalog import EdgeWorkspace
 from gypsummount._core.catalog import NO_HOME_REGIONS
+from gypsummount._core.draining import Drain
 from gypsummount._core.placement import hash_object
 from gypsummount._core.weighted_choice import WeightedChoice
 from gypsummount._edge.backends import Need
@@ -22,6 +23,7 @@
 from gypsummount._edge.tokens import Tokens
 from gypsummount._edge.wire import Arrival
 from gypsummount.errors import CallerDisconnected
+from gypsummount.errors import InstanceLeaving
 from gypsummount.errors import KeyMissing
 from gypsummount.errors import KeyRefused
 from gypsummount.errors import KeyStale
@@ -30,6 +32,7 @@
 from gypsummount.errors import RateExceeded
 from gypsummount.errors import RequestError
 from gypsummount.errors import RouteNotFound
+from gypsummount.errors import UpstreamFailed
 
 DEFAULT_CALLER_TIMEOUT_S = 30.0  # for callers that state no deadline
 # An answer has to reach callers up to 10 ms away before their deadline.
@@ -37,6 +40,8 @@
 RANKS_PER_PRIORITY = 100  # ranks within one workspace priority
 # The longest wait for a token, relative to the latency objective.
 WAIT_FRACTION = 0.4
+# Most requests end within this many latency objectives.
+USUAL_OBJECTIVES = 2.0
 # Replicas whose freshness proof is older never refuse unknown routes or keys.
 MAX_CATALOG_AGE_S = 2.0
 
@@ -94,7 +99,9 @@
         tokens: Tokens,
         rollouts: Rollouts,
         random: Random,
+        drain: Drain,
     ) -> None:
+        self._drain = drain
         self._replica = replica
         self._tokens = tokens
         self._rollouts = rollouts
@@ -114,7 +121,9 @@
         route = self._find_route(catalog, arrival)
         workspace = self._find_workspace(catalog, route, arrival)
         remaining_s = arrival.remaining_s or DEFAULT_CALLER_TIMEOUT_S
-        limit_s = min(remaining_s - DEADLINE_MARGIN_S, route.timeout_s)
+        deadline = arrived_at + min(
+            remaining_s - DEADLINE_MARGIN_S, route.timeout_s
+        )
         first_sent_at = arrived_at - self._caller_deadlines.estimate_waited(
             route.name, remaining_s
         )
@@ -125,10 +134,11 @@
             route,
             workspace,
             arrived_at,
-            arrived_at + limit_s,
+            deadline,
             need,
             need,
         )
+        self._check_drain(context)
         self._choose_version(context)
         return context
 
@@ -205,6 +215,30 @@
             route.objective_s,
         )
 
+    def _check_drain(self, context: RequestContext) -> None:
+        """Check that a request ends before this instance has stopped.
+
+        The stop must not cut a request, so its time limit counts.  Limits
+        may be longer than the whole drain; until callers have noticed the
+        stop, a request that may be repeated is taken if it usually ends.
+
+        :raises InstanceLeaving: if it may outlast the instance.
+        :raises UpstreamFailed: in that case too, if it may have run.
+        """
+        if self._drain.covers(context.deadline):
+            return
+        route = context.route
+        now = read_monotonic()
+        usual_end = now + route.objective_s * USUAL_OBJECTIVES
+        if route.repeatable and now < self._drain.noticed_at:
+            if self._drain.covers(usual_end):
+                return
+        if context.may_have_run:
+            raise UpstreamFailed(
+                "the upstream failed and the instance is leaving; send again"
+            )
+        raise InstanceLeaving("the instance is leaving; try another one")
+
     def _choose_version(self, context: RequestContext) -> None:
         need = context.need
         canary = self._rollouts.get_canary(need.service)
@@ -253,9 +287,11 @@
             await sleep(grant.wait_s)
 
     def recheck(self, context: RequestContext) -> None:
-        """Check caller and key again just before the request is sent.
+        """Check caller, key and time again just before the request is sent.
 
         :raises CallerDisconnected: if the caller has disconnected.
+        :raises InstanceLeaving: if it may outlast this instance.
+        :raises UpstreamFailed: in that case too, if it may have run.
         :raises KeyRefused: if the key was withdrawn in the meantime.
         :raises KeyStale: if a withdrawal may have been missed.
         """
@@ -263,6 +299,7 @@
             raise CallerDisconnected(
                 "the caller has left; nothing is sent for it"
             )
+        self._check_drain(context)
         if context.workspace is None:
             return
         owner = self._replica.catalog.find_owner(context.arrival.key)
--- a/src/gypsummount/_edge/front.py
+++ b/src/gypsummount/_edge/front.py
@@ -26,13 +26,12 @@
 from gypsummount._entry.exchanges import UpstreamAnswer
 from gypsummount.errors import CallerDisconnected
 from gypsummount.errors import InstanceBusy
-from gypsummount.errors import NotReady
+from gypsummount.errors import InstanceLeaving
 from gypsummount.errors import OutcomeUnknown
 from gypsummount.errors import RequestError
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
 STATUSES_WITHOUT_BODY = (204, 304)
-LEAVING_RETRY_AFTER_S = 0.02
 BUSY_RETRY_AFTER_S = 0.2
 BUSY_RETRY_JITTER_S = 0.3
 
@@ -64,7 +63,8 @@
 
     def _answer_at_once(self, request: HTTPServerRequest) -> bool:
         if self._is_refusing:
-            self._write_error(request, _build_leaving_error())
+            error = InstanceLeaving("the instance is leaving; try another one")
+            self._write_error(request, error)
             return True
         read_delay_s = self._loop_timer.get_max_read_delay(read_monotonic())
         if self._shedder.admit(self._loop_timer.number, read_delay_s):
@@ -166,12 +166,6 @@
             self._metrics.count("callers.lost")
 
 
-def _build_leaving_error() -> NotReady:
-    error = NotReady("the instance is leaving; try another one")
-    error.retry_after_s = LEAVING_RETRY_AFTER_S
-    return error
-
-
 def _build_busy_error() -> InstanceBusy:
     error = InstanceBusy("the instance is busy; come back later")
     error.retry_after_s = BUSY_RETRY_AFTER_S + random() * BUSY_RETRY_JITTER_S
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -15,6 +15,7 @@
 from gypsummount._common.tasks import run_periodically
 from gypsummount._common.tasks import start_task
 from gypsummount._core.charts import StateMachine
+from gypsummount._core.draining import Drain
 from gypsummount._core.freshness import FreshnessProof
 from gypsummount._core.quotas import QuotaShares
 from gypsummount._core.readers import Contact
@@ -62,7 +63,10 @@
 REGISTER_RETRY_S = 1.0
 INITIAL_RATE_SHARE = 0.1
 DRAIN_ACCEPT_S = 3.5
-STOP_MARGIN_S = 0.6
+# Times (s) before the end of the grace time: when the last request ends,
+# and when the connections are closed.
+LAST_REQUEST_MARGIN_S = 0.6
+CLOSE_MARGIN_S = 0.3
 MS_PER_S = 1000
 
 _log = get_logger("process")
@@ -83,6 +87,8 @@
         self._feed = feed
         self._lifecycle = StateMachine("lifecycle")
         self._stopping = Event()
+        self._stopped_at = 0.0
+        self._drain = Drain()
         self._incarnation = int(time() * MS_PER_S)
         random = Random(self._incarnation)
         limit_s = settings.bounds.max_proof_age_s
@@ -137,6 +143,7 @@
                     self._tokens,
                     self._rollouts,
                     Random(f"{settings.instance} {self._incarnation}"),
+                    self._drain,
                 ),
                 self._retry_budgets,
                 wire,
@@ -181,9 +188,20 @@
         _log.info("Settings are reloaded.")
 
     def stop(self) -> None:
-        """Begin the shutdown, in which requests in flight may complete."""
+        """Begin the shutdown, in which requests in flight may complete.
+
+        The grace time counts from the signal, which a busy event loop may
+        have handled late.
+        """
         if self._stopping.is_set():
             return
+        now = read_monotonic()
+        self._stopped_at = now - self._loop_timer.get_max_read_delay(now)
+        bounds = self._settings.bounds
+        self._drain.begin(
+            self._stopped_at + bounds.grace_s - LAST_REQUEST_MARGIN_S,
+            self._stopped_at + bounds.lookup_ttl_s,
+        )
         _log.info("Stopping.")
         self._stopping.set()
         self.front.is_closing = True
@@ -208,7 +226,7 @@
             await self._open(stack)
             self._start_tasks(stack)
             await self._stopping.wait()
-            await self._drain()
+            await self._finish_requests()
         _log.info("Stopped.")
 
     async def _open(self, stack: AsyncExitStack) -> None:
@@ -248,14 +266,17 @@
         start_task(stack, self._register(), "register")
         start_task(stack, self.front.watch_disconnects(), "callers")
 
-    async def _drain(self) -> None:
+    async def _finish_requests(self) -> None:
         """Accept callers for a while, then drain within the grace time."""
-        began = read_monotonic()
-        grace_s = self._settings.bounds.grace_s - STOP_MARGIN_S
-        while read_monotonic() - began < min(DRAIN_ACCEPT_S, grace_s):
+        grace_s = self._settings.bounds.grace_s
+        accept_until = min(
+            self._stopped_at + DRAIN_ACCEPT_S, self._drain.ends_at
+        )
+        while read_monotonic() < accept_until:
             await sleep(REFRESH_INTERVAL_S)
         self.front.stop_listening()
-        while read_monotonic() - began < grace_s:
+        close_at = self._stopped_at + grace_s - CLOSE_MARGIN_S
+        while read_monotonic() < close_at:
             if not self.front.in_flight:
                 break
             await sleep(REFRESH_INTERVAL_S / 2)
--- a/src/gypsummount/errors.py
+++ b/src/gypsummount/errors.py
@@ -157,6 +157,13 @@
     retry_after_s = 1
 
 
+class InstanceLeaving(RequestError):
+    """The instance stops before the request is sure to have ended."""
+
+    code = "instance_leaving"
+    retry_after_s = 0.02
+
+
 class OutcomeTableFull(RequestError):
     """The table of outcomes is full, so it accepts no new idempotency key."""
 
--- a/tests/edge/test_sends.py
+++ b/tests/edge/test_sends.py
@@ -1,11 +1,13 @@
 """Checks of deadline, caller and rate before a request is sent."""
 
 from asyncio import sleep
+from dataclasses import replace
 
 import pytest
 
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._core.catalog import EdgeWorkspace
+from gypsummount._core.draining import Drain
 from gypsummount._core.freshness import FreshnessProof
 from gypsummount._core.quotas import QuotaShares
 from gypsummount._edge.admission import Admission
@@ -15,8 +17,10 @@
 from gypsummount._entry.connections import ConnectionPool
 from gypsummount._entry.exchanges import UpstreamRequest
 from gypsummount.errors import CallerDisconnected
+from gypsummount.errors import InstanceLeaving
 from gypsummount.errors import NoCapacity
 from gypsummount.errors import RateExceeded
+from gypsummount.errors import UpstreamFailed
 from tests.edge.test_front import create_context
 from tests.entry.wires import build_answer
 from tests.entry.wires import read_request
@@ -53,7 +57,7 @@
     @pytest.fixture
     def admission(self):
         replica = Replica(None, FreshnessProof(4.0))
-        return Admission(replica, None, None, None)
+        return Admission(replica, None, None, None, Drain())
 
     def test_caller_that_disconnected_while_waiting_is_found(self, admission):
         """Guards against sends for callers that disconnected while waiting."""
@@ -68,6 +72,52 @@
         admission.recheck(context)
 
 
+class TestStop:
+    """A stopping instance sends no request that may outlast it."""
+
+    @pytest.fixture
+    def context(self):
+        context = create_context(None, read_monotonic())
+        context.caller = _Caller(is_disconnected=False)
+        return context
+
+    def recheck(self, context, *, spare_s, notice_s=0.0):
+        """Check again a request that may end ``spare_s`` before the drain.
+
+        Callers notice the stop after ``notice_s``.
+        """
+        drain = Drain()
+        drain.begin(context.deadline + spare_s, read_monotonic() + notice_s)
+        replica = Replica(None, FreshnessProof(4.0))
+        Admission(replica, None, None, None, drain).recheck(context)
+
+    def test_request_that_ends_in_time_is_sent(self, context):
+        self.recheck(context, spare_s=0.1)
+
+    def test_request_that_waited_too_long_is_not_sent(self, context):
+        """Guards against sends after a wait that the stop cuts off."""
+        with pytest.raises(InstanceLeaving):
+            self.recheck(context, spare_s=-0.1)
+
+    def test_long_limit_is_no_reason_to_refuse_at_once(self, context):
+        """Guards against stops that refuse all where limits are long."""
+        context.route = replace(context.route, objective_s=0.1)
+        self.recheck(context, spare_s=-0.1, notice_s=1.0)
+
+    def test_long_limit_of_what_may_not_be_repeated_is_kept(self, context):
+        context.route = replace(
+            context.route, objective_s=0.1, repeatable=False
+        )
+        with pytest.raises(InstanceLeaving):
+            self.recheck(context, spare_s=-0.1, notice_s=1.0)
+
+    def test_retry_that_may_be_cut_is_not_sent(self, context):
+        """Guards against "not run" for a request that may have run."""
+        context.may_have_run = True
+        with pytest.raises(UpstreamFailed):
+            self.recheck(context, spare_s=-0.1)
+
+
 class TestTokens:
     @pytest.fixture
     def quotas(self):
@@ -83,7 +133,8 @@
         for _ in range(2):
             quotas.take_token("w", 10.0, 2.0, now, max_wait_s=0.0)
         tokens = Tokens("n1", quotas, replica, Peers("r1"), None)
-        return Admission(replica, tokens, None, None).admit(context)
+        admission = Admission(replica, tokens, None, None, Drain())
+        return admission.admit(context)
 
     async def test_token_that_comes_after_the_deadline_is_not_awaited(
         self, quotas
--- /dev/null
+++ b/tests/platform/callers.py
@@ -0,0 +1,124 @@
+"""Callers that use kept-alive connections until the process has ended."""
+
+from asyncio import IncompleteReadError
+from asyncio import open_connection
+from asyncio import sleep
+from dataclasses import dataclass
+from random import Random
+
+from gypsummount._common.clocks import read_monotonic
+from tests.platform.conftest import KEY
+
+HOST_NAME = "h.example"
+CHUNKS = 4
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One request of a caller; times are of the boot clock (s).
+
+    ``sent_at`` is when its last byte was sent.  ``status`` is None if the
+    connection ended without a whole answer.
+    """
+
+    request_id: str
+    sent_at: float = 0.0
+    ended_at: float = 0.0
+    status: int | None = None
+
+
+class PooledCaller:
+    """A caller with idle connections, of which each request uses another.
+
+    A connection that an answer closes is not used again, and no new one is
+    opened, so that requests go on until all connections are used up or the
+    process has closed them.
+    """
+
+    def __init__(self, name: str, address: tuple, random: Random) -> None:
+        self.attempts: list[Attempt] = []
+        self._name = name
+        self._address = address
+        self._random = random
+        self._idle: list[tuple] = []
+
+    async def connect(self, count: int) -> None:
+        """Open idle connections."""
+        for _ in range(count):
+            self._idle.append(await open_connection(*self._address))
+
+    async def run(self, max_pause_s: float, deadline_ms: int) -> None:
+        """Send requests after random pauses until no connection is left."""
+        while self._idle:
+            await sleep(self._random.uniform(0.0, max_pause_s))
+            self._drop_closed()
+            if self._idle:
+                await self.send(deadline_ms)
+
+    def _drop_closed(self) -> None:
+        """Forget the idle connections that the process has closed."""
+        closed = [link for link in self._idle if link[0].at_eof()]
+        for link in closed:
+            link[1].close()
+            self._idle.remove(link)
+
+    async def send(self, deadline_ms: int) -> Attempt:
+        """Send one request, with a length or in chunks."""
+        reader, writer = self._idle.pop(0)
+        attempt = Attempt(f"{self._name}-{len(self.attempts)}")
+        self.attempts.append(attempt)
+        try:
+            await self._write_request(writer, attempt, deadline_ms)
+            attempt.sent_at = read_monotonic()
+            attempt.status = await self._read_answer(reader, writer)
+        except (OSError, IncompleteReadError):
+            attempt.sent_at = attempt.sent_at or read_monotonic()
+        attempt.ended_at = read_monotonic()
+        if writer.is_closing():
+            return attempt
+        self._idle.append((reader, writer))
+        return attempt
+
+    async def _write_request(
+        self, writer: object, attempt: Attempt, deadline_ms: int
+    ) -> None:
+        body = b"x" * self._random.randrange(1, 4000)
+        is_chunked = self._random.random() < 0.5
+        framing = (
+            "Transfer-Encoding: chunked"
+            if is_chunked
+            else f"Content-Length: {len(body)}"
+        )
+        head = (
+            "POST /book/x HTTP/1.1\r\n"
+            f"Host: {HOST_NAME}\r\n"
+            f"Gypsummount-Request-Id: {attempt.request_id}\r\n"
+            f"Gypsummount-Deadline-Milliseconds: {deadline_ms}\r\n"
+            f"Api-Key: {KEY}\r\n"
+            f"{framing}\r\n\r\n"
+        )
+        writer.write(head.encode())
+        if not is_chunked:
+            writer.write(body)
+            return
+        size = max(1, len(body) // CHUNKS)
+        for start in range(0, len(body), size):
+            chunk = body[start : start + size]
+            writer.write(b"%x\r\n%b\r\n" % (len(chunk), chunk))
+            await sleep(self._random.uniform(0.0, 0.05))
+        writer.write(b"0\r\n\r\n")
+
+    async def _read_answer(self, reader: object, writer: object) -> int:
+        """Read a whole answer and return its status.
+
+        :raises IncompleteReadError: if the connection ended before.
+        """
+        head = await reader.readuntil(b"\r\n\r\n")
+        start_line, *lines = head.decode().split("\r\n")
+        headers = dict(
+            line.lower().split(": ", 1) for line in lines if ": " in line
+        )
+        await reader.readexactly(int(headers["content-length"]))
+        if headers.get("connection") == "close":
+            writer.close()
+        return int(start_line.split()[1])
--- a/tests/platform/doubles.py
+++ b/tests/platform/doubles.py
@@ -5,6 +5,7 @@
 from asyncio import wait_for
 from json import dumps
 from json import loads
+from random import Random
 
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
@@ -172,13 +173,16 @@
     runs it and closes the connection without an answer.  ``crossed``:
     answers with the id of another request.  ``failing``: runs it and
     answers with status 500.  ``closing``: closes the connection
-    :data:`CLOSING_S` seconds after an answer.
+    :data:`CLOSING_S` seconds after an answer.  A run takes at least
+    ``delay_s``, and a random time up to ``max_delay_s``.
     """
 
     def __init__(self, name):
         self.name = name
         self.behaviour = "good"
         self.delay_s = 0.0
+        self.max_delay_s = 0.0
+        self.random = Random(name)
         self.runs = []
         self.headers = []
         self.cold_ms = 0
@@ -187,6 +191,9 @@
         self.arrivals = 0
         self.health_checks = 0
 
+    def choose_delay(self):
+        return max(self.delay_s, self.random.uniform(0.0, self.max_delay_s))
+
 
 class _ServerHandler(RequestHandler):
     def initialize(self, server):
@@ -234,7 +241,7 @@
             return
         server.runs.append(request_id)
         server.headers.append(headers)
-        await sleep(server.delay_s)
+        await sleep(server.choose_delay())
         if server.behaviour == "lost":
             self.request.connection.stream.close()
             return
@@ -297,11 +304,11 @@
     )
 
 
-def build_config(version, keys):
+def build_config(version, keys, timeout_s=1.5):
     """Return a configuration with two routes to one service."""
     rules = [
-        build_rule("safe", "/read/"),
-        build_rule("unsafe", "/book/"),
+        build_rule("safe", "/read/", timeout_s),
+        build_rule("unsafe", "/book/", timeout_s),
     ]
     return {
         "version": version,
@@ -328,7 +335,7 @@
     }
 
 
-def build_rule(kind, prefix):
+def build_rule(kind, prefix, timeout_s):
     return {
         "name": kind,
         "kind": kind,
@@ -337,7 +344,7 @@
         "public": False,
         "sticky": True,
         "match": {"pathPrefix": prefix},
-        "action": {"service": "s", "timeoutS": 1.5, "attempts": 2},
+        "action": {"service": "s", "timeoutS": timeout_s, "attempts": 2},
     }
 
 
--- a/tests/platform/test_stops.py
+++ b/tests/platform/test_stops.py
@@ -3,9 +3,18 @@
 from asyncio import create_task
 from asyncio import gather
 from asyncio import sleep
+from random import Random
 from signal import SIGHUP
 from signal import SIGTERM
 
+import pytest
+
+from gypsummount._common.clocks import read_monotonic
+from tests.platform.callers import PooledCaller
+from tests.platform.conftest import KEY
+from tests.platform.doubles import build_config
+from tests.platform.doubles import build_server
+
 
 class TestStops:
     async def test_planned_stop_finishes_running_requests(self, instance):
@@ -70,3 +79,90 @@
         await sleep(0.5)
         assert (await instance.call(1, "GET", "/read/x")).status == 200
         assert "keeping the current ones" in instance.read_log(1)
+
+
+CALLERS = 30
+CONNECTIONS = 8
+TIMEOUT_S = 2.5
+LONGEST_RUN_S = 2.2
+GRACE_S = 6.0
+# A request whose connection closes within this time (s) has crossed the
+# close and has not been read.
+CROSSING_S = 0.2
+
+
+class StopTrial:
+    """Callers, upstreams and one instance that is stopped under load."""
+
+    def __init__(self, instance, seed):
+        self.instance = instance
+        self.random = Random(seed)
+        self.callers = []
+
+    async def prepare(self):
+        instance = self.instance
+        for server in instance.servers.values():
+            server.max_delay_s = LONGEST_RUN_S
+        for name in instance.servers:
+            stored = instance.store.objects["servers"][name]["specification"]
+            server = build_server(stored["address"], slots=100)
+            instance.store.put("servers", name, server)
+        instance.store.put("config", "main", build_config(4, [KEY], TIMEOUT_S))
+        await sleep(3.5)
+        address = ("127.0.0.2", instance.ports.front)
+        for number in range(CALLERS):
+            caller = PooledCaller(
+                f"c{number}", address, Random(self.random.random())
+            )
+            await caller.connect(CONNECTIONS)
+            self.callers.append(caller)
+
+    async def run(self):
+        """Stop the instance under load; return the time until it ended."""
+        calls = [create_task(caller.run(1.5, 2500)) for caller in self.callers]
+        await sleep(0.5)
+        process = self.instance.processes[1]
+        began = read_monotonic()
+        process.send_signal(SIGTERM)
+        while process.poll() is None:
+            await sleep(0.02)
+        took_s = read_monotonic() - began
+        await gather(*calls)
+        return took_s
+
+    def list_lost(self):
+        """Return the requests that ran, or were read, without an answer."""
+        runs = {
+            request_id
+            for server in self.instance.servers.values()
+            for request_id in server.runs
+        }
+        lost = []
+        for caller in self.callers:
+            for attempt in caller.attempts:
+                ran = attempt.request_id in runs
+                wait_s = attempt.ended_at - attempt.sent_at
+                is_crossing = attempt.status is None and wait_s < CROSSING_S
+                if ran != (attempt.status == 200):
+                    lost.append(attempt)
+                elif attempt.status is None and not is_crossing:
+                    lost.append(attempt)
+        return lost
+
+
+class TestLateRequests:
+    @pytest.mark.parametrize("seed", range(2))
+    async def test_no_request_that_runs_is_cut(self, instance, seed):
+        """Guards against requests late in the grace that run and are cut."""
+        trial = StopTrial(instance, seed)
+        await trial.prepare()
+        assert await trial.run() < GRACE_S
+        assert instance.processes[1].returncode == 0
+        assert trial.list_lost() == []
+        statuses = [
+            attempt.status
+            for caller in trial.callers
+            for attempt in caller.attempts
+        ]
+        assert statuses.count(200) > CALLERS
+        assert statuses.count(503) > 0
