Give callers one more second to notice a stop

What may be repeated, and has a limit longer than the grace time, is taken until callers have noticed the stop. That was counted to the end of the directory's answers; callers' clocks and their own caches make it later. With 2 s, requests of review/2, sent 2.2 to 2.6 s after SIGTERM with a limit of 6 s, would be refused (by the code; not run).

--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -63,6 +63,8 @@
 REGISTER_RETRY_S = 1.0
 INITIAL_RATE_SHARE = 0.1
 DRAIN_ACCEPT_S = 3.5
+# Callers may use an address this much longer than the directory allows.
+NOTICE_MARGIN_S = 1.0
 # Times (s) before the end of the grace time: when the last request ends,
 # and when the connections are closed.
 LAST_REQUEST_MARGIN_S = 0.6
@@ -200,7 +202,7 @@
         bounds = self._settings.bounds
         self._drain.begin(
             self._stopped_at + bounds.grace_s - LAST_REQUEST_MARGIN_S,
-            self._stopped_at + bounds.lookup_ttl_s,
+            self._stopped_at + bounds.lookup_ttl_s + NOTICE_MARGIN_S,
         )
         _log.info("Stopping.")
         self._stopping.set()
