Let a stop last until all answers are written

Cause: the stop waited for running requests only. A request begins to run once it is complete, and ends once its answer is in the buffer of the stream.

Change: the listener knows the connections on which a request is partly received and those with bytes left to write; the stop lasts until there are none.

--- a/src/gypsummount/_common/request_server.py
+++ b/src/gypsummount/_common/request_server.py
@@ -49,6 +49,14 @@
         """Return the number of running requests."""
         return len(self._running)
 
+    @property
+    def is_quiet(self) -> bool:
+        """Tell whether no request is received, running or being answered.
+
+        An answer counts until its last byte has left the process.
+        """
+        return not self._running and not self._server.is_transferring()
+
     @property
     def connections(self) -> int:
         """Return the number of open caller connections."""
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -278,9 +278,7 @@
             await sleep(REFRESH_INTERVAL_S)
         self.front.stop_listening()
         close_at = self._stopped_at + grace_s - CLOSE_MARGIN_S
-        while read_monotonic() < close_at:
-            if not self.front.in_flight:
-                break
+        while read_monotonic() < close_at and not self.front.is_quiet:
             await sleep(REFRESH_INTERVAL_S / 2)
         self.front.refuse_requests()
 
--- a/tests/platform/callers.py
+++ b/tests/platform/callers.py
@@ -1,18 +1,74 @@
 """Callers that use kept-alive connections until the process has ended."""
 
+from asyncio import get_running_loop
 from asyncio import IncompleteReadError
 from asyncio import open_connection
 from asyncio import sleep
+from asyncio import StreamReader
+from asyncio import StreamWriter
 from dataclasses import dataclass
 from random import Random
+import socket
 
 from gypsummount._common.clocks import read_monotonic
 from tests.platform.conftest import KEY
 
 HOST_NAME = "h.example"
+SMALL_WINDOW_BYTES = 65_536
 CHUNKS = 4
 
 
+def build_head(request_id: str, deadline_ms: int, framing: str) -> bytes:
+    """Return the head of a request that may not be repeated."""
+    return (
+        "POST /book/x HTTP/1.1\r\n"
+        f"Host: {HOST_NAME}\r\n"
+        f"Gypsummount-Request-Id: {request_id}\r\n"
+        f"Gypsummount-Deadline-Milliseconds: {deadline_ms}\r\n"
+        f"Api-Key: {KEY}\r\n"
+        f"{framing}\r\n\r\n"
+    ).encode()
+
+
+async def read_head(reader: StreamReader) -> tuple[int, dict[str, str]]:
+    """Read the head of an answer; return its status and headers.
+
+    :raises IncompleteReadError: if the connection ended before.
+    """
+    head = await reader.readuntil(b"\r\n\r\n")
+    start_line, *lines = head.decode().split("\r\n")
+    headers = dict(
+        line.lower().split(": ", 1) for line in lines if ": " in line
+    )
+    return int(start_line.split()[1]), headers
+
+
+async def connect_slowly(address: tuple) -> tuple:
+    """Open a connection with a small receive window."""
+    connected = socket.socket()
+    connected.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_WINDOW_BYTES
+    )
+    connected.setblocking(False)
+    await get_running_loop().sock_connect(connected, address)
+    return await open_connection(sock=connected)
+
+
+async def read_slowly(reader: StreamReader, bytes_per_s: int) -> int:
+    """Read a whole answer at a limited rate; return its status.
+
+    :raises IncompleteReadError: if the connection ended before.
+    """
+    status, headers = await read_head(reader)
+    remaining = int(headers["content-length"])
+    while remaining:
+        piece = min(SMALL_WINDOW_BYTES, remaining)
+        await reader.readexactly(piece)
+        remaining -= piece
+        await sleep(piece / bytes_per_s)
+    return status
+
+
 @dataclass(slots=True)
 class Attempt:
     """One request of a caller; times are of the boot clock (s).
@@ -80,7 +136,7 @@
         return attempt
 
     async def _write_request(
-        self, writer: object, attempt: Attempt, deadline_ms: int
+        self, writer: StreamWriter, attempt: Attempt, deadline_ms: int
     ) -> None:
         body = b"x" * self._random.randrange(1, 4000)
         is_chunked = self._random.random() < 0.5
@@ -89,15 +145,7 @@
             if is_chunked
             else f"Content-Length: {len(body)}"
         )
-        head = (
-            "POST /book/x HTTP/1.1\r\n"
-            f"Host: {HOST_NAME}\r\n"
-            f"Gypsummount-Request-Id: {attempt.request_id}\r\n"
-            f"Gypsummount-Deadline-Milliseconds: {deadline_ms}\r\n"
-            f"Api-Key: {KEY}\r\n"
-            f"{framing}\r\n\r\n"
-        )
-        writer.write(head.encode())
+        writer.write(build_head(attempt.request_id, deadline_ms, framing))
         if not is_chunked:
             writer.write(body)
             return
@@ -108,17 +156,15 @@
             await sleep(self._random.uniform(0.0, 0.05))
         writer.write(b"0\r\n\r\n")
 
-    async def _read_answer(self, reader: object, writer: object) -> int:
+    async def _read_answer(
+        self, reader: StreamReader, writer: StreamWriter
+    ) -> int:
         """Read a whole answer and return its status.
 
         :raises IncompleteReadError: if the connection ended before.
         """
-        head = await reader.readuntil(b"\r\n\r\n")
-        start_line, *lines = head.decode().split("\r\n")
-        headers = dict(
-            line.lower().split(": ", 1) for line in lines if ": " in line
-        )
+        status, headers = await read_head(reader)
         await reader.readexactly(int(headers["content-length"]))
         if headers.get("connection") == "close":
             writer.close()
-        return int(start_line.split()[1])
+        return status
--- a/tests/platform/doubles.py
+++ b/tests/platform/doubles.py
@@ -182,6 +182,7 @@
         self.behaviour = "good"
         self.delay_s = 0.0
         self.max_delay_s = 0.0
+        self.answer_bytes = 0
         self.random = Random(name)
         self.runs = []
         self.headers = []
@@ -252,7 +253,8 @@
         self.set_header("Gypsummount-Request-Id", request_id)
         self.set_header("Gypsummount-Server-Stamp", f"stamp-{server.name}")
         self.set_header("Gypsummount-Server-Load", "1,0,4")
-        await self.finish(f"{server.name}:{len(self.request.body)}")
+        text = f"{server.name}:{len(self.request.body)}"
+        await self.finish(text.ljust(server.answer_bytes))
         if server.behaviour == "closing":
             await sleep(CLOSING_S)
             self.request.connection.stream.close()
--- a/tests/platform/test_stops.py
+++ b/tests/platform/test_stops.py
@@ -10,7 +10,11 @@
 import pytest
 
 from gypsummount._common.clocks import read_monotonic
+from tests.platform.callers import build_head
+from tests.platform.callers import connect_slowly
 from tests.platform.callers import PooledCaller
+from tests.platform.callers import read_head
+from tests.platform.callers import read_slowly
 from tests.platform.conftest import KEY
 from tests.platform.doubles import build_config
 from tests.platform.doubles import build_server
@@ -166,3 +170,47 @@
         ]
         assert statuses.count(200) > CALLERS
         assert statuses.count(503) > 0
+
+
+class TestSlowCallers:
+    """Callers on slow links, which send or receive across the stop."""
+
+    # More than the kernel takes from the process at once.
+    ANSWER_BYTES = 8_000_000
+    BYTES_PER_S = 3_000_000
+
+    async def connect(self, instance):
+        return await connect_slowly(("127.0.0.2", instance.ports.front))
+
+    async def test_answer_is_written_to_its_end(self, instance):
+        """Guards against answers that the stop cuts in the middle.
+
+        No request is running any more when the process could stop, but
+        most of the answer is still in its buffers.
+        """
+        for server in instance.servers.values():
+            server.answer_bytes = self.ANSWER_BYTES
+        reader, writer = await self.connect(instance)
+        instance.processes[1].send_signal(SIGTERM)
+        await sleep(2.3)
+        writer.write(build_head("id-1", 2500, "Content-Length: 0"))
+        status = await read_slowly(reader, self.BYTES_PER_S)
+        writer.close()
+        assert status == 200
+
+    async def test_request_that_is_being_sent_is_answered(self, instance):
+        """Guards against a stop that closes in the middle of a request."""
+        reader, writer = await self.connect(instance)
+        instance.processes[1].send_signal(SIGTERM)
+        await sleep(3.2)
+        writer.write(build_head("id-1", 1000, "Transfer-Encoding: chunked"))
+        for _ in range(10):
+            writer.write(b"2\r\nxx\r\n")
+            await sleep(0.08)
+        writer.write(b"0\r\n\r\n")
+        status, _ = await read_head(reader)
+        writer.close()
+        runs = [
+            run for server in instance.servers.values() for run in server.runs
+        ]
+        assert (status, runs) in [(200, ["id-1"]), (503, [])]
