Let an entry refuse requests once it has drained

What callers would see: a request on an open connection, sent while a stopping entry waited up to 6 s for its loans to end, was run and then cut if it still ran when the connections were closed.

Cause: the entry had a stop of its own, which refused nothing after the last request had ended.

Change: one RequestServer.drain for entry and edge; the entry compares the time limit of a request with the end of its stop, too, and closes connections after refusals.

--- a/src/gypsummount/_common/request_server.py
+++ b/src/gypsummount/_common/request_server.py
@@ -5,6 +5,7 @@
 from asyncio import create_task
 from asyncio import sleep
 from asyncio import Task
+from collections.abc import Callable
 
 from tornado.httputil import HTTPServerRequest
 from tornado.iostream import IOStream
@@ -18,6 +19,7 @@
 IDLE_TIMEOUT_S = 75
 DISCONNECT_CHECK_PERIOD_S = 0.1
 MAX_CONNECTIONS = 2048
+DRAIN_CHECK_PERIOD_S = 0.05
 
 
 class RequestServer(ABC):
@@ -43,6 +45,7 @@
             idle_connection_timeout=IDLE_TIMEOUT_S,
         )
         self.is_closing = False
+        self.is_refusing = False
 
     @property
     def in_flight(self) -> int:
@@ -75,6 +78,26 @@
         """Stop accepting connections; open ones stay."""
         self._server.stop()
 
+    def refuse_requests(self) -> None:
+        """Refuse further requests, as not run, until the server is closed."""
+        self.is_refusing = True
+
+    async def drain(
+        self, until: float, is_idle: Callable[[], bool] = lambda: True
+    ) -> None:
+        """Accept no more connections, and let the open requests end.
+
+        Waits until no request is left and ``is_idle`` holds, but not beyond
+        ``until`` (boot clock, s).  Further requests are refused then.
+        """
+        self.is_closing = True
+        self.stop_listening()
+        while read_monotonic() < until:
+            if self.is_quiet and is_idle():
+                break
+            await sleep(DRAIN_CHECK_PERIOD_S)
+        self.refuse_requests()
+
     async def close(self) -> None:
         """Cancel all requests and close all connections."""
         self._server.stop()
--- a/src/gypsummount/_edge/front.py
+++ b/src/gypsummount/_edge/front.py
@@ -54,15 +54,10 @@
         self._wire = wire
         self._metrics = metrics
         self._decisions = decisions
-        self._is_refusing = False
         self._shedder = LoadShedder()
 
-    def refuse_requests(self) -> None:
-        """Refuse further requests, as not run, until the server is closed."""
-        self._is_refusing = True
-
     def _answer_at_once(self, request: HTTPServerRequest) -> bool:
-        if self._is_refusing:
+        if self.is_refusing:
             error = InstanceLeaving("the instance is leaving; try another one")
             self._write_error(request, error)
             return True
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -270,17 +270,13 @@
 
     async def _finish_requests(self) -> None:
         """Accept callers for a while, then drain within the grace time."""
-        grace_s = self._settings.bounds.grace_s
         accept_until = min(
             self._stopped_at + DRAIN_ACCEPT_S, self._drain.ends_at
         )
         while read_monotonic() < accept_until:
             await sleep(REFRESH_INTERVAL_S)
-        self.front.stop_listening()
-        close_at = self._stopped_at + grace_s - CLOSE_MARGIN_S
-        while read_monotonic() < close_at and not self.front.is_quiet:
-            await sleep(REFRESH_INTERVAL_S / 2)
-        self.front.refuse_requests()
+        grace_s = self._settings.bounds.grace_s
+        await self.front.drain(self._stopped_at + grace_s - CLOSE_MARGIN_S)
 
     async def _send_digests(self) -> None:
         now = read_monotonic()
--- a/src/gypsummount/_entry/front.py
+++ b/src/gypsummount/_entry/front.py
@@ -17,6 +17,7 @@
 from gypsummount._common.metrics import Metrics
 from gypsummount._common.metrics import Series
 from gypsummount._common.request_server import RequestServer
+from gypsummount._core.draining import Drain
 from gypsummount._core.keys import KeyRecord
 from gypsummount._core.lookups import CallerLocation
 from gypsummount._core.lookups import rank_entries
@@ -27,6 +28,7 @@
 from gypsummount._entry.request_reader import RequestReader
 from gypsummount._entry.requests import SteeredRequest
 from gypsummount._entry.snapshot import Snapshot
+from gypsummount.errors import InstanceLeaving
 from gypsummount.errors import NotReady
 from gypsummount.errors import Outcome
 from gypsummount.errors import RequestError
@@ -63,9 +65,11 @@
         metrics: Metrics,
         location: CallerLocation,
         lookup_ttl_s: float,
+        drain: Drain,
         loop_timer: LoopTimer | None = None,
     ) -> None:
         super().__init__(MAX_BODY_BYTES, loop_timer)
+        self._drain = drain
         self._snapshot = snapshot
         self._reader = reader
         self._homes = homes
@@ -76,6 +80,11 @@
         self._lookups_version = -1
 
     def _answer_at_once(self, request: HTTPServerRequest) -> bool:
+        if self.is_refusing:
+            error = InstanceLeaving("the entry is leaving; use another one")
+            outcome = self._get_key_outcome(request, None, error)
+            self._write_error(request, error, outcome)
+            return True
         if request.path != LOOKUP_PATH or request.method != "GET":
             return False
         self._answer_lookup(request)
@@ -147,7 +156,7 @@
                 raise RequestInvalid(
                     f"no such resource; use GET {LOOKUP_PATH}?service=NAME"
                 )
-            steered = self._reader.read(request, arrived_at)
+            steered = self._read(request, arrived_at)
             answer = await self._homes.run(steered)
             self._write_answer(request, answer)
             series = Series(steered.workspace, steered.route.prefix)
@@ -171,6 +180,18 @@
             )
             self._write_error(request, error, Outcome.UNKNOWN)
 
+    def _read(
+        self, request: HTTPServerRequest, arrived_at: float
+    ) -> SteeredRequest:
+        """Return the request to steer.
+
+        :raises RequestError: if it is refused, or may outlast this entry.
+        """
+        steered = self._reader.read(request, arrived_at)
+        if not self._drain.covers(steered.deadline):
+            raise InstanceLeaving("the entry is leaving; use another one")
+        return steered
+
     def _get_key_outcome(
         self,
         request: HTTPServerRequest,
@@ -245,6 +266,8 @@
         _echo_request_id(request, headers)
         if error.retry_after_s is not None:
             headers["Retry-After"] = str(error.retry_after_s)
+        if self.is_closing:
+            headers["Connection"] = "close"
         reason = responses.get(error.status, "Unknown")
         start_line = ResponseStartLine("HTTP/1.1", error.status, reason)
         try:
--- a/src/gypsummount/_entry/process.py
+++ b/src/gypsummount/_entry/process.py
@@ -21,6 +21,7 @@
 from gypsummount._common.tasks import run_periodically
 from gypsummount._common.tasks import start_task
 from gypsummount._core.charts import StateMachine
+from gypsummount._core.draining import Drain
 from gypsummount._core.lookups import CallerLocation
 from gypsummount._core.lookups import DRAIN_MARGIN_S
 from gypsummount._core.lookups import LOOKUP_TTL_S
@@ -94,6 +95,7 @@
         random = Random(self.incarnation)
         prefix = f"gypsummount.entry.{settings.instance}"
         self.metrics = Metrics(settings.statsd, prefix)
+        self.drain = Drain()
         self.snapshot = Snapshot(settings.pepper, self._name, now)
         self._channels = ChannelPool()
         self._peers = PeerClient(self._channels, settings.region)
@@ -141,6 +143,7 @@
             self.metrics,
             CallerLocation(settings.domain, settings.region),
             settings.lookup_ttl_s,
+            self.drain,
             loop_timer,
         )
 
@@ -207,11 +210,12 @@
         self._lifecycle.fire("stopped")
         self.budgets.stop_lending()
         _log.info("Stopping; continuing to serve for %g s.", settings.drain_s)
+        noticed_at = read_monotonic() + settings.drain_s
+        ends_at = noticed_at + settings.stop_limit_s
+        self.drain.begin(ends_at, noticed_at)
         await self._link.report()
         await sleep(settings.drain_s)
-        self.front.is_closing = True
-        self.front.stop_listening()
-        await self._wait_until(self._is_idle, settings.stop_limit_s)
+        await self.front.drain(ends_at, lambda: not self._homes.running)
         await self._borrower.return_all()
         await self._wait_until(
             self.budgets.has_lent_nothing, LOAN_END_TIMEOUT_S
@@ -230,9 +234,6 @@
         while not is_done() and read_monotonic() < give_up_at:
             await sleep(POLL_PERIOD_S)
 
-    def _is_idle(self) -> bool:
-        return not self.front.in_flight and not self._homes.running
-
     def build_report(self) -> peer_pb2.EntryReport:
         """Return the report for the agent: state, confirmations, metrics."""
         return peer_pb2.EntryReport(
--- a/tests/platform/callers.py
+++ b/tests/common/pooled_callers.py
@@ -6,28 +6,18 @@
 from asyncio import sleep
 from asyncio import StreamReader
 from asyncio import StreamWriter
+from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 import socket
 
 from gypsummount._common.clocks import read_monotonic
-from tests.platform.conftest import KEY
 
-HOST_NAME = "h.example"
 SMALL_WINDOW_BYTES = 65_536
 CHUNKS = 4
-
-
-def build_head(request_id: str, deadline_ms: int, framing: str) -> bytes:
-    """Return the head of a request that may not be repeated."""
-    return (
-        "POST /book/x HTTP/1.1\r\n"
-        f"Host: {HOST_NAME}\r\n"
-        f"Gypsummount-Request-Id: {request_id}\r\n"
-        f"Gypsummount-Deadline-Milliseconds: {deadline_ms}\r\n"
-        f"Api-Key: {KEY}\r\n"
-        f"{framing}\r\n\r\n"
-    ).encode()
+# A request whose connection closes within this time (s) has crossed the
+# close and has not been read.
+CROSSING_S = 0.2
 
 
 async def read_head(reader: StreamReader) -> tuple[int, dict[str, str]]:
@@ -88,10 +78,18 @@
 
     A connection that an answer closes is not used again, and no new one is
     opened, so that requests go on until all connections are used up or the
-    process has closed them.
+    process has closed them.  ``build_head`` returns the head of a request
+    with an id and a header line for the framing of the body.
     """
 
-    def __init__(self, name: str, address: tuple, random: Random) -> None:
+    def __init__(
+        self,
+        name: str,
+        address: tuple,
+        build_head: Callable[[str, str], bytes],
+        random: Random,
+    ) -> None:
+        self._build_head = build_head
         self.attempts: list[Attempt] = []
         self._name = name
         self._address = address
@@ -103,13 +101,13 @@
         for _ in range(count):
             self._idle.append(await open_connection(*self._address))
 
-    async def run(self, max_pause_s: float, deadline_ms: int) -> None:
+    async def run(self, max_pause_s: float) -> None:
         """Send requests after random pauses until no connection is left."""
         while self._idle:
             await sleep(self._random.uniform(0.0, max_pause_s))
             self._drop_closed()
             if self._idle:
-                await self.send(deadline_ms)
+                await self.send()
 
     def _drop_closed(self) -> None:
         """Forget the idle connections that the process has closed."""
@@ -118,13 +116,13 @@
             link[1].close()
             self._idle.remove(link)
 
-    async def send(self, deadline_ms: int) -> Attempt:
+    async def send(self) -> Attempt:
         """Send one request, with a length or in chunks."""
         reader, writer = self._idle.pop(0)
         attempt = Attempt(f"{self._name}-{len(self.attempts)}")
         self.attempts.append(attempt)
         try:
-            await self._write_request(writer, attempt, deadline_ms)
+            await self._write_request(writer, attempt)
             attempt.sent_at = read_monotonic()
             attempt.status = await self._read_answer(reader, writer)
         except (OSError, IncompleteReadError):
@@ -136,7 +134,7 @@
         return attempt
 
     async def _write_request(
-        self, writer: StreamWriter, attempt: Attempt, deadline_ms: int
+        self, writer: StreamWriter, attempt: Attempt
     ) -> None:
         body = b"x" * self._random.randrange(1, 4000)
         is_chunked = self._random.random() < 0.5
@@ -145,7 +143,7 @@
             if is_chunked
             else f"Content-Length: {len(body)}"
         )
-        writer.write(build_head(attempt.request_id, deadline_ms, framing))
+        writer.write(self._build_head(attempt.request_id, framing))
         if not is_chunked:
             writer.write(body)
             return
@@ -168,3 +166,19 @@
         if headers.get("connection") == "close":
             writer.close()
         return status
+
+
+def list_lost(attempts: list[Attempt], runs: set[str]) -> list[Attempt]:
+    """Return the attempts that ran, or were read, without an answer.
+
+    ``runs`` has the ids of all requests that ran.  An attempt that did not
+    run may end without an answer if it crossed the close.
+    """
+    lost = []
+    for attempt in attempts:
+        ran = attempt.request_id in runs
+        wait_s = attempt.ended_at - attempt.sent_at
+        is_cut = attempt.status is None and wait_s > CROSSING_S
+        if ran != (attempt.status == 200) or is_cut:
+            lost.append(attempt)
+    return lost
--- a/tests/platform/test_stops.py
+++ b/tests/platform/test_stops.py
@@ -10,14 +10,15 @@
 import pytest
 
 from gypsummount._common.clocks import read_monotonic
-from tests.platform.callers import build_head
-from tests.platform.callers import connect_slowly
-from tests.platform.callers import PooledCaller
-from tests.platform.callers import read_head
-from tests.platform.callers import read_slowly
+from tests.common.pooled_callers import connect_slowly
+from tests.common.pooled_callers import list_lost
+from tests.common.pooled_callers import PooledCaller
+from tests.common.pooled_callers import read_head
+from tests.common.pooled_callers import read_slowly
 from tests.platform.conftest import KEY
 from tests.platform.doubles import build_config
 from tests.platform.doubles import build_server
+from tests.platform.heads import build_head
 
 
 class TestStops:
@@ -88,11 +89,12 @@
 CALLERS = 30
 CONNECTIONS = 8
 TIMEOUT_S = 2.5
+DEADLINE_MS = 2500
 LONGEST_RUN_S = 2.2
+MAX_PAUSE_S = 1.5
+# Servers count as cold for this time (s) after they are first seen.
+COLD_S = 3.5
 GRACE_S = 6.0
-# A request whose connection closes within this time (s) has crossed the
-# close and has not been read.
-CROSSING_S = 0.2
 
 
 class StopTrial:
@@ -112,18 +114,25 @@
             server = build_server(stored["address"], slots=100)
             instance.store.put("servers", name, server)
         instance.store.put("config", "main", build_config(4, [KEY], TIMEOUT_S))
-        await sleep(3.5)
+        await sleep(COLD_S)
         address = ("127.0.0.2", instance.ports.front)
         for number in range(CALLERS):
             caller = PooledCaller(
-                f"c{number}", address, Random(self.random.random())
+                f"c{number}",
+                address,
+                lambda request_id, framing: build_head(
+                    request_id, DEADLINE_MS, framing
+                ),
+                Random(self.random.random()),
             )
             await caller.connect(CONNECTIONS)
             self.callers.append(caller)
 
     async def run(self):
         """Stop the instance under load; return the time until it ended."""
-        calls = [create_task(caller.run(1.5, 2500)) for caller in self.callers]
+        calls = [
+            create_task(caller.run(MAX_PAUSE_S)) for caller in self.callers
+        ]
         await sleep(0.5)
         process = self.instance.processes[1]
         began = read_monotonic()
@@ -141,17 +150,12 @@
             for server in self.instance.servers.values()
             for request_id in server.runs
         }
-        lost = []
-        for caller in self.callers:
-            for attempt in caller.attempts:
-                ran = attempt.request_id in runs
-                wait_s = attempt.ended_at - attempt.sent_at
-                is_crossing = attempt.status is None and wait_s < CROSSING_S
-                if ran != (attempt.status == 200):
-                    lost.append(attempt)
-                elif attempt.status is None and not is_crossing:
-                    lost.append(attempt)
-        return lost
+        return list_lost(self.list_attempts(), runs)
+
+    def list_attempts(self):
+        return [
+            attempt for caller in self.callers for attempt in caller.attempts
+        ]
 
 
 class TestLateRequests:
@@ -163,11 +167,7 @@
         assert await trial.run() < GRACE_S
         assert instance.processes[1].returncode == 0
         assert trial.list_lost() == []
-        statuses = [
-            attempt.status
-            for caller in trial.callers
-            for attempt in caller.attempts
-        ]
+        statuses = [attempt.status for attempt in trial.list_attempts()]
         assert statuses.count(200) > CALLERS
         assert statuses.count(503) > 0
 
