--- a/tests/platform/test_stops.py
+++ b/tests/platform/test_stops.py
@@ -3,21 +3,12 @@
 from asyncio import create_task
 from asyncio import gather
 from asyncio import sleep
-from random import Random
 from signal import SIGHUP
 from signal import SIGTERM
 
-import pytest
-
-from gypsummount._common.clocks import read_monotonic
 from tests.common.pooled_callers import connect_slowly
-from tests.common.pooled_callers import list_lost
-from tests.common.pooled_callers import PooledCaller
 from tests.common.pooled_callers import read_head
 from tests.common.pooled_callers import read_slowly
-from tests.platform.conftest import KEY
-from tests.platform.doubles import build_config
-from tests.platform.doubles import build_server
 from tests.platform.heads import build_head
 
 
@@ -86,92 +77,6 @@
         assert "keeping the current ones" in instance.read_log(1)
 
 
-CALLERS = 30
-CONNECTIONS = 8
-TIMEOUT_S = 2.5
-DEADLINE_MS = 2500
-LONGEST_RUN_S = 2.2
-MAX_PAUSE_S = 1.5
-# Servers count as cold for this time (s) after they are first seen.
-COLD_S = 3.5
-GRACE_S = 6.0
-
-
-class StopTrial:
-    """Callers, upstreams and one instance that is stopped under load."""
-
-    def __init__(self, instance, seed):
-        self.instance = instance
-        self.random = Random(seed)
-        self.callers = []
-
-    async def prepare(self):
-        instance = self.instance
-        for server in instance.servers.values():
-            server.max_delay_s = LONGEST_RUN_S
-        for name in instance.servers:
-            stored = instance.store.objects["servers"][name]["specification"]
-            server = build_server(stored["address"], slots=100)
-            instance.store.put("servers", name, server)
-        instance.store.put("config", "main", build_config(4, [KEY], TIMEOUT_S))
-        await sleep(COLD_S)
-        address = ("127.0.0.2", instance.ports.front)
-        for number in range(CALLERS):
-            caller = PooledCaller(
-                f"c{number}",
-                address,
-                lambda request_id, framing: build_head(
-                    request_id, DEADLINE_MS, framing
-                ),
-                Random(self.random.random()),
-            )
-            await caller.connect(CONNECTIONS)
-            self.callers.append(caller)
-
-    async def run(self):
-        """Stop the instance under load; return the time until it ended."""
-        calls = [
-            create_task(caller.run(MAX_PAUSE_S)) for caller in self.callers
-        ]
-        await sleep(0.5)
-        process = self.instance.processes[1]
-        began = read_monotonic()
-        process.send_signal(SIGTERM)
-        while process.poll() is None:
-            await sleep(0.02)
-        took_s = read_monotonic() - began
-        await gather(*calls)
-        return took_s
-
-    def list_lost(self):
-        """Return the requests that ran, or were read, without an answer."""
-        runs = {
-            request_id
-            for server in self.instance.servers.values()
-            for request_id in server.runs
-        }
-        return list_lost(self.list_attempts(), runs)
-
-    def list_attempts(self):
-        return [
-            attempt for caller in self.callers for attempt in caller.attempts
-        ]
-
-
-class TestLateRequests:
-    @pytest.mark.parametrize("seed", range(2))
-    async def test_no_request_that_runs_is_cut(self, instance, seed):
-        """Guards against requests late in the grace that run and are cut."""
-        trial = StopTrial(instance, seed)
-        await trial.prepare()
-        assert await trial.run() < GRACE_S
-        assert instance.processes[1].returncode == 0
-        assert trial.list_lost() == []
-        statuses = [attempt.status for attempt in trial.list_attempts()]
-        assert statuses.count(200) > CALLERS
-        assert statuses.count(503) > 0
-
-
 class TestSlowCallers:
     """Callers on slow links, which send or receive across the stop."""
 
