Bound the memory that bodies take together

Cause: each body was bounded, all together were not, and each was held up to three times.

Change: one account counts the bytes of all bodies until they are freed, against the memory of the settings. An upload that does not fit is refused at once as not run, and its rest is thrown away; without room for answers, the largest one that is being received is dropped. Forms are no longer parsed, as nobody read them.

--- a/src/gypsummount/_common/listener.py
+++ b/src/gypsummount/_common/listener.py
@@ -6,55 +6,20 @@
 from socket import MSG_PEEK
 from typing import final
 
+from tornado.http1connection import HTTP1Connection
 from tornado.http1connection import HTTP1ServerConnection
 from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPConnection
-from tornado.httputil import HTTPHeaders
 from tornado.httputil import HTTPMessageDelegate
-from tornado.httputil import RequestStartLine
 from tornado.iostream import IOStream
 
+from gypsummount._common.body_account import BodyAccount
+from gypsummount._common.request_receiver import RequestHandler
+from gypsummount._common.request_receiver import RequestReceiver
+
 # Number of idle connections checked for one that can be closed.
 MAX_IDLE_CHECKS = 8
 
 
-@final
-class _ReceivedRequest(HTTPMessageDelegate):
-    """Adds a connection to a set while a request is received on it.
-
-    All calls are passed on to ``delegate``.
-    """
-
-    __slots__ = ("_delegate", "_receiving", "_stream")
-
-    def __init__(
-        self,
-        delegate: HTTPMessageDelegate,
-        receiving: set[IOStream],
-        stream: IOStream,
-    ) -> None:
-        self._delegate = delegate
-        self._receiving = receiving
-        self._stream = stream
-
-    def headers_received(
-        self, start_line: RequestStartLine, headers: HTTPHeaders
-    ) -> None:
-        self._receiving.add(self._stream)
-        return self._delegate.headers_received(start_line, headers)
-
-    def data_received(self, chunk: bytes) -> None:
-        return self._delegate.data_received(chunk)
-
-    def finish(self) -> None:
-        self._receiving.discard(self._stream)
-        self._delegate.finish()
-
-    def on_connection_close(self) -> None:
-        self._receiving.discard(self._stream)
-        self._delegate.on_connection_close()
-
-
 @final
 class Listener(HTTPServer):
     """Closes the longest idle connection when the limit is exceeded.
@@ -68,21 +33,25 @@
 
     def initialize(
         self,
-        request_callback: object,
+        handler: RequestHandler,
         *,
         max_connections: int,
+        account: BodyAccount,
         **options: object,
     ) -> None:
         """Set up the server.
 
-        ``options`` are passed to ``HTTPServer.initialize``.  Tornado
-        calls this method instead of ``__init__``.
+        ``account`` counts the bodies of requests.  ``options`` are passed
+        to ``HTTPServer.initialize``.  Tornado calls this method instead of
+        ``__init__``.
         """
-        super().initialize(request_callback, **options)
+        super().initialize(handler.receive, **options)
+        self._handler = handler
+        self._account = account
         self.idle_closed = 0
         self._max_connections = max_connections
         self._streams: set[IOStream] = set()
-        self._receiving: set[IOStream] = set()
+        self._receiving: set[HTTP1Connection] = set()
         self._idle: OrderedDict[IOStream, None] = OrderedDict()
 
     @property
@@ -97,11 +66,12 @@
         return any(stream.writing() for stream in self._streams)
 
     def start_request(
-        self, server_conn: HTTP1ServerConnection, request_conn: HTTPConnection
+        self, server_conn: HTTP1ServerConnection, request_conn: HTTP1Connection
     ) -> HTTPMessageDelegate:
         """Return the delegate that receives the next request."""
-        delegate = super().start_request(server_conn, request_conn)
-        return _ReceivedRequest(delegate, self._receiving, server_conn.stream)
+        return RequestReceiver(
+            self._handler, request_conn, self._receiving, self._account
+        )
 
     def handle_stream(self, stream: IOStream, address: tuple) -> None:
         """Serve a new connection, closing an idle one if over the limit."""
@@ -114,7 +84,6 @@
     def on_close(self, server_conn: HTTP1ServerConnection) -> None:
         """Remove a closed connection from the counts."""
         self._streams.discard(server_conn.stream)
-        self._receiving.discard(server_conn.stream)
         self._idle.pop(server_conn.stream, None)
         super().on_close(server_conn)
 
--- /dev/null
+++ b/src/gypsummount/_common/request_receiver.py
@@ -0,0 +1,115 @@
+"""Reception of a request, with a limit on the memory of its body."""
+
+from abc import ABC
+from abc import abstractmethod
+from typing import final
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPMessageDelegate
+from tornado.httputil import HTTPServerRequest
+from tornado.httputil import RequestStartLine
+
+from gypsummount._common.body_account import Body
+from gypsummount._common.body_account import BodyAccount
+
+
+class RequestHandler(ABC):
+    """Takes the requests that a listener receives."""
+
+    @abstractmethod
+    def receive(self, request: HTTPServerRequest) -> None:
+        """Take a request that was received completely."""
+
+    @abstractmethod
+    def refuse_body(self, request: HTTPServerRequest) -> None:
+        """Write an answer to a request for whose body no memory is left.
+
+        The body may still be on its way, so the answer is not finished.
+        """
+
+
+@final
+class RequestReceiver(HTTPMessageDelegate):
+    """Receives one request for a handler.
+
+    The connection is in the set ``receiving`` from the head to the end of
+    the body.  The rest of a refused body is read and discarded, because
+    closing the connection before its end would discard the answer.
+    """
+
+    __slots__ = (
+        "_account",
+        "_body",
+        "_connection",
+        "_handler",
+        "_is_refused",
+        "_receiving",
+        "_request",
+    )
+
+    def __init__(
+        self,
+        handler: RequestHandler,
+        connection: HTTP1Connection,
+        receiving: set[HTTP1Connection],
+        account: BodyAccount,
+    ) -> None:
+        self._handler = handler
+        self._connection = connection
+        self._receiving = receiving
+        self._account = account
+        self._request: HTTPServerRequest | None = None
+        self._body: Body | None = None
+        self._is_refused = False
+
+    def headers_received(
+        self, start_line: RequestStartLine, headers: HTTPHeaders
+    ) -> None:
+        """Begin a request; refuse it if the announced body is too large."""
+        self._request = HTTPServerRequest(
+            connection=self._connection, start_line=start_line, headers=headers
+        )
+        self._receiving.add(self._connection)
+        # Tornado checks the length itself, after this call.
+        length = headers.get("Content-Length", "")
+        if length.isdecimal():
+            self._reserve(int(length))
+
+    def data_received(self, chunk: bytes) -> None:
+        """Add a part of the body."""
+        if self._is_refused:
+            return
+        received = len(self._body) if self._body is not None else 0
+        self._reserve(received + len(chunk))
+        if self._body is not None:
+            self._body.append_bytes(chunk)
+
+    def finish(self) -> None:
+        """Hand over the complete request."""
+        self._receiving.discard(self._connection)
+        if self._is_refused:
+            self._connection.finish()
+            return
+        request = self._request
+        if self._body is not None:
+            request.body = self._body
+        self._request = self._body = None
+        self._handler.receive(request)
+
+    def on_connection_close(self) -> None:
+        """Drop a request that will not become complete."""
+        self._receiving.discard(self._connection)
+        self._request = self._body = None
+
+    def _reserve(self, size: int) -> None:
+        """Reserve memory for the whole body; without it, refuse."""
+        if size == 0:
+            return
+        if self._body is None:
+            self._body = Body(self._account)
+        if self._body.try_reserve(size):
+            return
+        self._body = None
+        self._is_refused = True
+        self._handler.refuse_body(self._request)
--- a/src/gypsummount/_common/request_server.py
+++ b/src/gypsummount/_common/request_server.py
@@ -1,6 +1,5 @@
 """An HTTP server that handles each request in a task of its own."""
 
-from abc import ABC
 from abc import abstractmethod
 from asyncio import create_task
 from asyncio import sleep
@@ -10,11 +9,13 @@
 from tornado.httputil import HTTPServerRequest
 from tornado.iostream import IOStream
 
+from gypsummount._common.body_account import BodyAccount
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.disconnects import CallerConnection
 from gypsummount._common.disconnects import find_disconnected
 from gypsummount._common.listener import Listener
 from gypsummount._common.loop_timer import LoopTimer
+from gypsummount._common.request_receiver import RequestHandler
 
 IDLE_TIMEOUT_S = 75
 DISCONNECT_CHECK_PERIOD_S = 0.1
@@ -22,7 +23,7 @@
 DRAIN_CHECK_PERIOD_S = 0.05
 
 
-class RequestServer(ABC):
+class RequestServer(RequestHandler):
     """Runs one task per request; a caller's disconnect cancels its task.
 
     ``disconnected_unread`` counts the callers that disconnected before their
@@ -34,13 +35,15 @@
         max_body_bytes: int,
         loop_timer: LoopTimer | None = None,
         max_connections: int = MAX_CONNECTIONS,
+        account: BodyAccount | None = None,
     ) -> None:
         self._loop_timer = loop_timer or LoopTimer()
         self._running: dict[Task[None], IOStream] = {}
         self.disconnected_unread = 0
         self._server = Listener(
-            self._receive,
+            self,
             max_connections=max_connections,
+            account=account or BodyAccount(),
             max_body_size=max_body_bytes,
             idle_connection_timeout=IDLE_TIMEOUT_S,
         )
@@ -122,7 +125,8 @@
         for stream in find_disconnected(self._running.values()):
             stream.close()
 
-    def _receive(self, request: HTTPServerRequest) -> None:
+    def receive(self, request: HTTPServerRequest) -> None:
+        """Serve a request, unless its caller has disconnected."""
         stream = request.connection.stream
         if CallerConnection(stream).has_disconnected():
             self.disconnected_unread += 1
@@ -139,6 +143,10 @@
         task.add_done_callback(self._on_task_done)
         request.connection.set_close_callback(task.cancel)
 
+    def refuse_body(self, request: HTTPServerRequest) -> None:
+        """Close the connection, as no answer says what is wrong."""
+        request.connection.stream.close()
+
     def _on_task_done(self, task: Task[None]) -> None:
         self._server.mark_idle(self._running.pop(task))
 
--- a/src/gypsummount/_edge/backends.py
+++ b/src/gypsummount/_edge/backends.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from gypsummount._common.body_account import BodyAccount
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.line_limiter import LineLimiter
 from gypsummount._common.logs import get_logger
@@ -79,8 +80,13 @@
     """Keeps one backend for each upstream in the replica."""
 
     def __init__(
-        self, replica: Replica, region: str, regions: dict[str, str]
+        self,
+        replica: Replica,
+        region: str,
+        regions: dict[str, str],
+        account: BodyAccount | None = None,
     ) -> None:
+        self._account = account
         self._replica = replica
         self._region = region
         self._regions = regions
@@ -139,7 +145,9 @@
             load.mark_suspected(now, cold_s, ColdReason.FIRST_SIGHT)
         region = self._regions.get(record.domain, "")
         fresh_s = LOCAL_FRESH_S if region == self._region else REMOTE_FRESH_S
-        pool = ConnectionPool(record.address, self._last_timeout, fresh_s)
+        pool = ConnectionPool(
+            record.address, self._last_timeout, fresh_s, self._account
+        )
         added = Backend(load, pool, region, False)
         self._by_name[record.name] = added
         return added
--- a/src/gypsummount/_edge/decisions.py
+++ b/src/gypsummount/_edge/decisions.py
@@ -121,6 +121,7 @@
             extra={
                 "request": request_id,
                 "code": error.code,
+                "reason": str(error),
                 "outcome": error.outcome.value,
                 "unread_ms": _to_ms(read_delay_s),
                 "left_out": self._refused.dropped,
--- a/src/gypsummount/_edge/front.py
+++ b/src/gypsummount/_edge/front.py
@@ -10,9 +10,11 @@
 from tornado.httputil import ResponseStartLine
 from tornado.iostream import StreamClosedError
 
+from gypsummount._common.body_account import BodyAccount
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.disconnects import CallerConnection
 from gypsummount._common.loop_timer import LoopTimer
+from gypsummount._common.messages import write_message
 from gypsummount._common.metrics import Metrics
 from gypsummount._common.metrics import Series
 from gypsummount._common.request_server import MAX_CONNECTIONS
@@ -48,8 +50,9 @@
         decisions: DecisionLog,
         loop_timer: LoopTimer | None = None,
         max_connections: int = MAX_CONNECTIONS,
+        account: BodyAccount | None = None,
     ) -> None:
-        super().__init__(MAX_BODY_BYTES, loop_timer, max_connections)
+        super().__init__(MAX_BODY_BYTES, loop_timer, max_connections, account)
         self._proxy = proxy
         self._wire = wire
         self._metrics = metrics
@@ -64,11 +67,19 @@
         read_delay_s = self._loop_timer.get_max_read_delay(read_monotonic())
         if self._shedder.admit(self._loop_timer.number, read_delay_s):
             return False
-        error = _build_busy_error()
+        error = _build_busy_error("the instance is busy")
         self._write_error(request, error)
+        self._log_overload(request, error, read_delay_s)
+        return True
+
+    def _log_overload(
+        self,
+        request: HTTPServerRequest,
+        error: InstanceBusy,
+        read_delay_s: float,
+    ) -> None:
         request_id = request.headers.get(self._wire.id_header, "?")
         self._decisions.log_overload(request_id, error, read_delay_s)
-        return True
 
     async def _serve(
         self, request: HTTPServerRequest, arrived_at: float
@@ -127,12 +138,27 @@
         if self.is_closing:
             headers["Connection"] = "close"
         line = ResponseStartLine("HTTP/1.1", answer.status, answer.reason)
-        request.connection.write_headers(line, headers, body)
+        write_message(request.connection, line, headers, body)
         request.connection.finish()
 
+    def refuse_body(self, request: HTTPServerRequest) -> None:
+        """Answer that there is no memory left for the body of a request."""
+        error = _build_busy_error("no memory is left for the body")
+        self._write_error(request, error, is_received=False)
+        self._log_overload(request, error, 0.0)
+
     def _write_error(
-        self, request: HTTPServerRequest, error: RequestError
+        self,
+        request: HTTPServerRequest,
+        error: RequestError,
+        *,
+        is_received: bool = True,
     ) -> None:
+        """Write the answer that tells an error.
+
+        An answer to a request that is still being received is not finished,
+        and the connection is not to be used again.
+        """
         self._metrics.count(f"refused.{error.code}")
         request.connection.set_close_callback(None)
         body = f"{error.code}: {error}\n".encode()
@@ -147,7 +173,7 @@
             headers[self._wire.id_header] = given
         if error.retry_after_s is not None:
             headers["Retry-After"] = f"{error.retry_after_s:.3g}"
-        if self.is_closing:
+        if self.is_closing or not is_received:
             headers["Connection"] = "close"
         if request.method == "HEAD":
             body = b""
@@ -156,13 +182,14 @@
         line = ResponseStartLine("HTTP/1.1", status, reason)
         try:
             request.connection.write_headers(line, headers, body)
-            request.connection.finish()
+            if is_received or "Expect" in request.headers:
+                request.connection.finish()
         except StreamClosedError:
             self._metrics.count("callers.lost")
 
 
-def _build_busy_error() -> InstanceBusy:
-    error = InstanceBusy("the instance is busy; come back later")
+def _build_busy_error(reason: str) -> InstanceBusy:
+    error = InstanceBusy(f"{reason}; come back later")
     error.retry_after_s = BUSY_RETRY_AFTER_S + random() * BUSY_RETRY_JITTER_S
     return error
 
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -7,6 +7,7 @@
 from random import Random
 from time import time
 
+from gypsummount._common.body_account import BodyAccount
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.logs import get_logger
 from gypsummount._common.loop_timer import LoopTimer
@@ -42,6 +43,7 @@
 from gypsummount._edge.rollouts import Rollouts
 from gypsummount._edge.selection import Selection
 from gypsummount._edge.settings import EdgeSettings
+from gypsummount._edge.settings import REQUEST_BODY_FRACTION
 from gypsummount._edge.sources import Sources
 from gypsummount._edge.status import EdgeStatus
 from gypsummount._edge.store_feed import InstanceRecord
@@ -103,8 +105,15 @@
         self.peers = Peers(settings.region, settings.domain)
         self._fleet_state = FleetState(settings, self.replica, self.peers)
         self._prober = Prober(self.replica, wire, settings.region)
+        self._bodies = BodyAccount(
+            settings.max_body_bytes, REQUEST_BODY_FRACTION
+        )
         self._selection = Selection(
-            self.replica, settings.region, settings.regions, self._prober
+            self.replica,
+            settings.region,
+            settings.regions,
+            self._prober,
+            self._bodies,
         )
         self._quotas = QuotaShares(INITIAL_RATE_SHARE)
         self._retry_budgets = RetryBudgets()
@@ -156,6 +165,7 @@
             DecisionLog(self.replica, self.metrics),
             self._loop_timer,
             settings.max_connections,
+            self._bodies,
         )
         self._status = EdgeStatus(
             self.metrics,
@@ -166,6 +176,7 @@
             self._store_reader,
             self._gossip,
             self._tokens,
+            self._bodies,
         )
 
     @property
--- a/src/gypsummount/_edge/selection.py
+++ b/src/gypsummount/_edge/selection.py
@@ -5,6 +5,7 @@
 from dataclasses import field
 from random import random
 
+from gypsummount._common.body_account import BodyAccount
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.logs import get_logger
 from gypsummount._core.placement import add_expected
@@ -73,12 +74,13 @@
         region: str,
         regions: dict[str, str],
         prober: Prober,
+        account: BodyAccount | None = None,
     ) -> None:
         self._replica = replica
         self._prober = prober
         self._region = region
         self._regions = regions
-        self._backends = Backends(replica, region, regions)
+        self._backends = Backends(replica, region, regions, account)
         self._services: dict[str, _ServiceState] = {}
         self._orders: dict[_OrderKey, list[Backend]] = {}
         self._seen_changes = -1
--- a/src/gypsummount/_edge/settings.py
+++ b/src/gypsummount/_edge/settings.py
@@ -1,12 +1,21 @@
 """Settings of an edge process, independent of any deployment."""
 
 from dataclasses import dataclass
+from math import inf
 
 PROOF_MARGIN_S = 1.2
 DEFAULT_CONFIG_APPLY_S = 2.5
 DEFAULT_DESCRIPTORS = 4096
 # The other file descriptors are for upstreams, peers and the store.
 CALLER_FRACTION = 0.5
+# Memory of a process that holds no bodies, with its connections.
+BASE_MEMORY_BYTES = 80_000_000
+# Fraction of the other memory that bodies may use; the allocator and the
+# sockets need the rest.
+BODY_MEMORY_FRACTION = 0.75
+# Fraction of the bodies' memory that requests may use.
+REQUEST_BODY_FRACTION = 0.75
+MIN_BODY_BYTES = 8_000_000
 
 
 @dataclass(slots=True, frozen=True)
@@ -36,8 +45,9 @@
 
     ``regions`` maps each failure domain to its region.  ``seeds`` are
     IPs of instances to contact first.  ``descriptors`` is the number of
-    file descriptors that the process may open, and ``capacity`` its share
-    of the processor (cores).
+    file descriptors that the process may open, ``capacity`` its share of
+    the processor (cores), and ``memory_bytes`` the memory that it may use,
+    0 without a limit.
     """
 
     instance: str
@@ -54,8 +64,17 @@
     bounds: EdgeBounds
     descriptors: int = DEFAULT_DESCRIPTORS
     capacity: float = 0.0
+    memory_bytes: int = 0
 
     @property
     def max_connections(self) -> int:
         """Return the maximum number of open connections of callers."""
         return int(self.descriptors * CALLER_FRACTION)
+
+    @property
+    def max_body_bytes(self) -> float:
+        """Return how many bytes all bodies in memory may have together."""
+        if not self.memory_bytes:
+            return inf
+        spare_bytes = self.memory_bytes - BASE_MEMORY_BYTES
+        return max(MIN_BODY_BYTES, spare_bytes * BODY_MEMORY_FRACTION)
--- a/src/gypsummount/_edge/status.py
+++ b/src/gypsummount/_edge/status.py
@@ -1,5 +1,6 @@
 """Metrics of an edge process and warnings about its delays."""
 
+from gypsummount._common.body_account import BodyAccount
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.logs import get_logger
 from gypsummount._common.loop_timer import LoopTimer
@@ -32,7 +33,9 @@
         store_reader: StoreReader,
         gossip: Gossip,
         tokens: Tokens,
+        bodies: BodyAccount,
     ) -> None:
+        self._bodies = bodies
         self._metrics = metrics
         self._loop_timer = loop_timer
         self._front = front
@@ -53,6 +56,8 @@
             "callers_left_unread": float(front.disconnected_unread),
             "connections_ended_idle": float(front.idle_closed),
             "connections_open": float(front.connections),
+            "body_bytes_held": float(self._bodies.held_bytes),
+            "answers_dropped": float(self._bodies.dropped),
             "round_seconds": self._loop_timer.span_s,
             "peers_live": float(len(self._peers.list_live(now))),
             "store_connected": float(self._store_reader.contact.is_connected),
--- a/src/gypsummount/_entry/connections.py
+++ b/src/gypsummount/_entry/connections.py
@@ -22,6 +22,7 @@
 from tornado.iostream import IOStream
 from tornado.iostream import StreamClosedError
 
+from gypsummount._common.body_account import BodyAccount
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.sockets import split_address
 from gypsummount._entry.exchanges import ExchangeError
@@ -79,6 +80,7 @@
     """
 
     __slots__ = (
+        "_account",
         "_host_header",
         "_idle",
         "_last_timeout",
@@ -93,7 +95,9 @@
         address: str,
         last_timeout: LastTimeout | None = None,
         max_fresh_age_s: float = MAX_FRESH_AGE_S,
+        account: BodyAccount | None = None,
     ) -> None:
+        self._account = account or BodyAccount()
         self._max_fresh_age_s = max_fresh_age_s
         self._last_timeout = last_timeout or LastTimeout()
         self.address = address
@@ -231,7 +235,7 @@
             stream.close()
             raise
         self.opened += 1
-        return UpstreamConnection(stream, read_monotonic())
+        return UpstreamConnection(stream, read_monotonic(), self._account)
 
 
 def _create_socket(family: int) -> socket:
--- a/src/gypsummount/_entry/exchanges.py
+++ b/src/gypsummount/_entry/exchanges.py
@@ -15,7 +15,10 @@
 from tornado.iostream import IOStream
 from tornado.iostream import StreamClosedError
 
+from gypsummount._common.body_account import AnswerBody
+from gypsummount._common.body_account import BodyAccount
 from gypsummount._common.clocks import read_monotonic
+from gypsummount._common.messages import write_message
 from gypsummount._core.sanitizing import Header
 from gypsummount.errors import GypsummountError
 
@@ -55,7 +58,7 @@
     method: str
     target: str
     headers: tuple[Header, ...]
-    body: bytes
+    body: bytes | bytearray
     request_id: str
     id_header: str = REQUEST_ID_HEADER
     host: str = ""
@@ -69,7 +72,7 @@
     status: int
     reason: str
     headers: list[Header]
-    body: bytes
+    body: bytes | bytearray
 
 
 class _AnswerReader(HTTPMessageDelegate):
@@ -78,11 +81,12 @@
     ``is_complete`` is set once the end of the answer was received.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, body: AnswerBody, account: BodyAccount) -> None:
         self.start_line: ResponseStartLine | None = None
         self.headers = HTTPHeaders()
-        self.chunks: list[bytes] = []
+        self.body = body
         self.is_complete = False
+        self._account = account
 
     def headers_received(
         self, start_line: ResponseStartLine, headers: HTTPHeaders
@@ -91,7 +95,11 @@
         self.headers = headers
 
     def data_received(self, chunk: bytes) -> None:
-        self.chunks.append(chunk)
+        if not self._account.make_room_for_answer(self.body, len(chunk)):
+            self.body.drop()
+        if self.body.is_dropped:
+            raise HTTPInputError("no memory is left for the answer")
+        self.body.append_bytes(chunk)
 
     def finish(self) -> None:
         self.is_complete = True
@@ -120,10 +128,13 @@
     ``used_at`` is when it was opened or last used (boot clock, s).
     """
 
-    __slots__ = ("_stream", "exchanges", "used_at")
+    __slots__ = ("_account", "_stream", "exchanges", "used_at")
 
-    def __init__(self, stream: IOStream, now: float) -> None:
+    def __init__(
+        self, stream: IOStream, now: float, account: BodyAccount
+    ) -> None:
         self._stream = stream
+        self._account = account
         self.exchanges = 0
         self.used_at = now
 
@@ -166,7 +177,9 @@
             all errors, ``sent`` is True.
         """
         is_clean = False
-        reader = _AnswerReader()
+        body = AnswerBody(self._account, self._stream.close)
+        reader = _AnswerReader(body, self._account)
+        self._account.add_receiving(body)
         try:
             async with timeout(limit_s):
                 await self._send_and_receive(request, host, reader)
@@ -185,6 +198,7 @@
                 sent=True,
             ) from None
         finally:
+            self._account.remove_receiving(body)
             self.exchanges += 1
             self.used_at = read_monotonic()
             if not is_clean:
@@ -194,6 +208,12 @@
     def _build_answer(
         self, request: UpstreamRequest, reader: _AnswerReader
     ) -> UpstreamAnswer:
+        if reader.body.is_dropped:
+            raise ExchangeError(
+                "no memory was left for the answer; look at the sizes of the "
+                "upstreams' answers",
+                sent=True,
+            )
         if reader.start_line is None or not reader.is_complete:
             raise ExchangeError(
                 "the answer was cut short; look at the upstream", sent=True
@@ -208,7 +228,7 @@
             reader.start_line.code,
             reader.start_line.reason,
             headers,
-            b"".join(reader.chunks),
+            reader.body,
         )
 
     def _check_echo(
@@ -262,7 +282,7 @@
         start_line = RequestStartLine(
             request.method, request.target, "HTTP/1.1"
         )
-        connection.write_headers(start_line, headers, request.body or None)
+        write_message(connection, start_line, headers, request.body)
         connection.finish()
         await connection.read_response(reader)
 
--- a/src/gypsummount/_entry/request_reader.py
+++ b/src/gypsummount/_entry/request_reader.py
@@ -104,7 +104,7 @@
                 Header(name, value)
                 for name, value in request.headers.get_all()
             ),
-            request.body,
+            bytes(request.body),
             arrived + effective_timeout_s,
             f"{self._incarnation}-{self._request_count}",
             read_idempotency_key(request.headers),
--- a/src/gypsummount/_entry/upstreams.py
+++ b/src/gypsummount/_entry/upstreams.py
@@ -128,7 +128,7 @@
                 (header.name, header.value)
                 for header in clean_answer_headers(answer.headers)
             ),
-            answer.body,
+            bytes(answer.body),
         )
 
     async def _exchange_hedged(
--- a/src/gypsummount/platform/__main__.py
+++ b/src/gypsummount/platform/__main__.py
@@ -4,6 +4,7 @@
 from contextlib import AsyncExitStack
 import sys
 
+from gypsummount._common.allocator import return_large_blocks
 from gypsummount._common.logs import configure_logs
 from gypsummount._common.logs import get_logger
 from gypsummount._common.loop_timer import create_timed_loop
@@ -54,6 +55,7 @@
     exit code 2.
     """
     configure_logs("info", "edge", stream=LossyStream(sys.stdout.fileno()))
+    return_large_blocks()
     loop_timer = LoopTimer()
     try:
         with Runner(
--- a/src/gypsummount/platform/settings.py
+++ b/src/gypsummount/platform/settings.py
@@ -15,6 +15,7 @@
 METRICS_PORT_VARIABLE = "GYPSUMMOUNT_METRICS_PORT"
 DEFAULT_METRICS_PORT = 9102
 MAX_LOOKUP_TTL_S = 2.0
+BYTES_PER_MB = 1_000_000
 
 
 @dataclass(slots=True, frozen=True)
@@ -101,6 +102,7 @@
         ),
         descriptors=int(limits.get("fileDescriptors") or DEFAULT_DESCRIPTORS),
         capacity=_read_capacity(limits),
+        memory_bytes=int(float(limits.get("memoryMb") or 0) * BYTES_PER_MB),
     )
     return PlatformSettings(edge, raw["platform"]["address"])
 
--- a/tests/entry/test_connections.py
+++ b/tests/entry/test_connections.py
@@ -8,12 +8,14 @@
 
 import pytest
 
+from gypsummount._common.body_account import BodyAccount
 from gypsummount._entry.connections import ConnectionPool
 from gypsummount._entry.connections import MAX_FRESH_AGE_S
 from gypsummount._entry.exchanges import ExchangeError
 from gypsummount._entry.exchanges import ExchangeTimeout
 from gypsummount._entry.exchanges import UpstreamRequest
 from tests.entry.wires import build_answer
+from tests.entry.wires import read_id
 from tests.entry.wires import read_request
 from tests.entry.wires import ScriptedUpstream
 
@@ -227,6 +229,31 @@
             await wait_for(ended.wait(), 1.0)
             pool.close()
 
+    async def test_answer_dropped_for_lack_of_memory_is_not_complete(self):
+        """Guards against a dropped body that looks like a whole one.
+
+        The end of the connection delimits the body, and the drop closes it.
+        """
+
+        async def serve_unframed(reader, writer):
+            head = await read_request(reader)
+            id_line = b"X-Request-Id: " + read_id(head)
+            writer.write(b"HTTP/1.1 200 OK\r\n" + id_line + b"\r\n\r\n")
+            while True:
+                writer.write(b"x" * 1000)
+                await writer.drain()
+
+        async with ScriptedUpstream(serve_unframed) as upstream:
+            account = BodyAccount(limit_bytes=100_000)
+            pool = ConnectionPool(upstream.address, account=account)
+            request = UpstreamRequest(
+                "GET", "/x", (), b"", "id-1", accepts_unframed=True
+            )
+            with pytest.raises(ExchangeError, match="no memory"):
+                await pool.send(request, LIMIT_S, repeatable=True)
+            pool.close()
+            assert account.held_bytes == 0
+
 
 class TestBrokenAnswers:
     async def test_truncated_body_is_an_error(self):
--- a/tests/entry/wires.py
+++ b/tests/entry/wires.py
@@ -25,13 +25,17 @@
     return head
 
 
+def read_id(head: bytes) -> bytes:
+    """Return the id of a request from its head."""
+    return _REQUEST_ID.search(head).group(1)
+
+
 def build_answer(head: bytes, body: bytes, **changes: str) -> bytes:
     """Return an answer that echoes the request id.
 
     ``changes`` may replace ``request_id`` and ``length``.
     """
-    id_match = _REQUEST_ID.search(head)
-    request_id = changes.get("request_id") or id_match.group(1).decode()
+    request_id = changes.get("request_id") or read_id(head).decode()
     length = changes.get("length") or str(len(body))
     lines = [
         "HTTP/1.1 200 OK",
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -64,7 +64,7 @@
     servers: dict = field(default_factory=dict)
     processes: dict = field(default_factory=dict)
 
-    def start(self, number, stdout=None):
+    def start(self, number, stdout=None, memory_mb=0):
         host = f"127.0.0.{number + 1}"
         path = self.folder / f"settings-{number}.json"
         zone = "z1" if number % 2 else "z2"
@@ -76,6 +76,7 @@
             self.ports,
             ZONES,
             zone,
+            memory_mb,
         )
         process = subprocess.Popen(
             [sys.executable, "-m", "gypsummount.platform"],
--- a/tests/platform/doubles.py
+++ b/tests/platform/doubles.py
@@ -282,7 +282,7 @@
     return serve(stack, _ServerHandler, {"server": server}, [r"/.*"])
 
 
-def write_settings(path, node, host, store, ports, zones, zone):
+def write_settings(path, node, host, store, ports, zones, zone, memory_mb=0):
     path.write_text(
         dumps(
             {
@@ -297,6 +297,7 @@
                     "control": f"{host}:{ports.control}",
                     "directory": f"{host}:{ports.directory}",
                 },
+                "limits": {"memoryMb": memory_mb},
                 "internalPorts": [ports.peer, ports.peer],
                 "seeds": [f"127.0.0.2:{ports.control}"],
                 "bounds": ["revokeS=5", "graceS=6", "strictRevocation=true"],
