Keep the old versions of a service while orders replace each other

What callers saw: an order for v2 was replaced by one for v3; from then on v2 got its full part of the requests, and went on getting it when it went bad, until v3 was completed (EXPOSURE; review/4).

Cause: while a service has an order that is not completed, every version but the order's target counted as old.

Change: the versions that served before the orders go on serving as long as they have upstreams.

--- a/src/gypsummount/_edge/rollouts.py
+++ b/src/gypsummount/_edge/rollouts.py
@@ -185,16 +185,24 @@
     def _choose_baseline(
         self, service: str, versions: Counter[str]
     ) -> frozenset[str]:
+        """Return the old versions of a service.
+
+        An order that replaces another one may leave upstreams of a target
+        that was never proved, so the versions that served before the
+        orders are kept as long as they have upstreams.
+        """
         order = self._replica.rollouts.get(service)
-        if order is not None:
-            if order.is_settled and order.state == COMPLETED:
+        present = frozenset(versions)
+        if order is not None and order.is_settled:
+            if order.state == COMPLETED:
                 return frozenset((order.target,))
-            others = frozenset(versions) - {order.target}
-            return others or frozenset(versions)
-        before = self._baselines.get(service, ANY_VERSION)
-        kept = before & frozenset(versions)
+        if order is not None:
+            present = present - {order.target} or present
+        kept = self._baselines.get(service, ANY_VERSION) & present
         if kept:
             return kept
+        if order is not None:
+            return present
         return frozenset((versions.most_common(1)[0][0],))
 
 
