Let a process that starts learn the old version of a service

Cause: which version is the old one was only in the memory of each process.

Change: digests tell the old versions of services that have upstreams of several versions, and a process that guesses takes what a peer knows. Until then the version that started first counts as the old one, as new upstreams are started beside old ones.

--- a/src/gypsummount/_edge/digests.py
+++ b/src/gypsummount/_edge/digests.py
@@ -76,6 +76,8 @@
     :class:`gypsummount._core.readers.Contact`: whether the sender
     reaches the store.  ``capacity`` is its share of a processor (cores),
     and ``loads`` are those of upstreams that it saw recently.
+    ``old_versions`` are those that serve outside a rollout, by service,
+    where upstreams of others exist as well.
     """
 
     name: str
@@ -97,6 +99,7 @@
     known: tuple[KnownPeer, ...] = ()
     capacity: float = 0.0
     loads: dict[str, LoadObservation] = field(default_factory=dict)
+    old_versions: dict[str, frozenset[str]] = field(default_factory=dict)
 
 
 def encode_body(digest: Digest) -> bytes:
@@ -114,7 +117,7 @@
 
 def encode_state(digest: Digest) -> dict:
     """Return a digest for JSON, without the known peers."""
-    return {
+    raw = {
         "name": digest.name,
         "incarnation": digest.incarnation,
         "host": digest.host,
@@ -139,6 +142,12 @@
             for name, observation in digest.loads.items()
         ],
     }
+    if digest.old_versions:
+        raw["old_versions"] = {
+            service: sorted(versions)
+            for service, versions in digest.old_versions.items()
+        }
+    return raw
 
 
 def build_datagram(echo: Echo, body: bytes) -> bytes:
@@ -180,6 +189,10 @@
         for name, load, age_s in raw.get("loads", ())
     }
     raw["known"] = tuple(KnownPeer(*peer) for peer in raw.get("known", ()))
+    raw["old_versions"] = {
+        service: frozenset(str(version) for version in versions)
+        for service, versions in raw.get("old_versions", {}).items()
+    }
     digest = Digest(echo=echo, **raw)
     _check_identity(digest)
     return digest
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -393,6 +393,7 @@
             known,
             settings.capacity,
             self._selection.list_loads() if self.peers.is_grouped else {},
+            self._rollouts.list_old_versions(),
         )
 
     def _handle_digest(self, digest: Digest, sent_at: float) -> None:
@@ -404,4 +405,5 @@
                     digest.proof_age_s,
                 )
         self._rollouts.apply_reports(digest)
+        self._rollouts.apply_old_versions(digest)
         self._selection.apply_loads(digest.loads, sent_at)
--- a/src/gypsummount/_edge/rollouts.py
+++ b/src/gypsummount/_edge/rollouts.py
@@ -1,6 +1,6 @@
 """Rollouts at an edge: request versions, evidence and completion."""
 
-from collections import Counter
+from math import inf
 
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.logs import get_logger
@@ -30,6 +30,9 @@
         self._feed = feed
         self._canaries: dict[str, Canary] = {}
         self._baselines: dict[str, frozenset[str]] = {}
+        # Services whose baseline no order and no peer has confirmed.
+        self._guessed: set[str] = set()
+        self._present: dict[str, dict[str, float]] = {}
         self._seen_changes = -1
 
     @property
@@ -65,6 +68,24 @@
             for service, canary in self._canaries.items()
         )
 
+    def list_old_versions(self) -> dict[str, frozenset[str]]:
+        """Return the known old versions of services with several versions."""
+        self._refresh()
+        return {
+            service: self._baselines[service]
+            for service, versions in self._present.items()
+            if len(versions) > 1 and service not in self._guessed
+        }
+
+    def apply_old_versions(self, digest: Digest) -> None:
+        """Take a peer's old versions where this instance knows none."""
+        self._refresh()
+        for service, versions in digest.old_versions.items():
+            known = versions & self._present.get(service, {}).keys()
+            if service in self._guessed and known:
+                self._guessed.discard(service)
+                self._baselines[service] = frozenset(known)
+
     def apply_reports(self, digest: Digest) -> None:
         """Apply a peer's evidence, vetoes and start times of the orders."""
         now = read_monotonic()
@@ -176,34 +197,48 @@
         A version that no order has introduced gets no requests, so that
         upstreams that start ahead of their order stay idle.
         """
-        counts: dict[str, Counter[str]] = {}
-        for record in self._replica.upstreams.values():
-            counts.setdefault(record.service, Counter())[record.version] += 1
-        for service, versions in counts.items():
+        self._present = self._find_versions()
+        for service, versions in self._present.items():
             self._baselines[service] = self._choose_baseline(service, versions)
 
+    def _find_versions(self) -> dict[str, dict[str, float]]:
+        """Return the versions of each service with their first start (ms)."""
+        found: dict[str, dict[str, float]] = {}
+        for record in self._replica.upstreams.values():
+            versions = found.setdefault(record.service, {})
+            started_ms = record.started_ms or inf
+            versions[record.version] = min(
+                started_ms, versions.get(record.version, inf)
+            )
+        return found
+
     def _choose_baseline(
-        self, service: str, versions: Counter[str]
+        self, service: str, versions: dict[str, float]
     ) -> frozenset[str]:
         """Return the old versions of a service.
 
         An order that replaces another one may leave upstreams of a target
         that was never proved, so the versions that served before the
-        orders are kept as long as they have upstreams.
+        orders are kept as long as they have upstreams.  A process that
+        starts takes the version that started first until peers tell.
         """
         order = self._replica.rollouts.get(service)
         present = frozenset(versions)
         if order is not None and order.is_settled:
             if order.state == COMPLETED:
+                self._guessed.discard(service)
                 return frozenset((order.target,))
         if order is not None:
             present = present - {order.target} or present
         kept = self._baselines.get(service, ANY_VERSION) & present
         if kept:
             return kept
-        if order is not None:
+        if len(present) == 1:
+            self._guessed.discard(service)
             return present
-        return frozenset((versions.most_common(1)[0][0],))
+        self._guessed.add(service)
+        first = min(present, key=lambda version: (versions[version], version))
+        return frozenset((first,))
 
 
 def _uses_old_version(canary: Canary, live: list[Digest]) -> bool:
--- a/tests/edge/test_rollouts.py
+++ b/tests/edge/test_rollouts.py
@@ -6,11 +6,16 @@
 
 from gypsummount._core.catalog import RolloutOrder
 from gypsummount._core.freshness import FreshnessProof
+from gypsummount._edge.digests import build_datagram
+from gypsummount._edge.digests import decode_digest
+from gypsummount._edge.digests import encode_body
+from gypsummount._edge.digests import NO_ECHO
 from gypsummount._edge.replica import Replica
 from gypsummount._edge.rollouts import COMPLETED
 from gypsummount._edge.rollouts import ROLLED_BACK
 from gypsummount._edge.rollouts import Rollouts
 from gypsummount._edge.rollouts import RUNNING
+from tests.edge.test_peers import build_digest
 from tests.edge.test_selection import create_record
 
 
@@ -21,9 +26,13 @@
         self.replica = Replica(None, FreshnessProof(4.0))
         self.rollouts = Rollouts("n1", self.replica, None)
 
-    def add_upstreams(self, version, first, count=4):
+    def add_upstreams(self, version, first, *, count=4, started_ms=0):
         for number in range(first, first + count):
-            record = create_record(str(number), "a1")
+            record = create_record(
+                str(number),
+                "a1",
+                started_ms=started_ms and started_ms + number,
+            )
             self.replica.upstreams[str(number)] = replace(
                 record, version=version
             )
@@ -81,3 +90,46 @@
             del service.replica.upstreams[str(number)]
         service.replica.changes += 1
         assert service.versions == {"v2"}
+
+
+class TestStart:
+    """A process that starts while a service has several versions."""
+
+    @pytest.fixture
+    def started(self):
+        created = Service()
+        created.add_upstreams("v2", 0, count=5, started_ms=2000)
+        created.add_upstreams("v1", 10, started_ms=1000)
+        return created
+
+    def tell(self, service, versions):
+        """Apply a peer's digest with the old versions of the service."""
+        digest = build_digest(2, "r1")
+        digest = replace(digest, old_versions={"s": frozenset(versions)})
+        datagram = build_datagram(NO_ECHO, encode_body(digest))
+        service.rollouts.apply_old_versions(decode_digest(datagram))
+
+    def test_version_that_started_first_is_the_old_one(self, started):
+        """Guards against full traffic to upstreams ahead of their order."""
+        assert started.versions == {"v1"}
+
+    def test_peers_know_the_old_version(self, started):
+        self.tell(started, ["v2"])
+        assert started.versions == {"v2"}
+        started.add_upstreams("v3", 20, started_ms=3000)
+        assert started.versions == {"v2"}
+
+    def test_known_old_version_is_not_changed_by_peers(self, service):
+        service.add_upstreams("v2", 10)
+        self.tell(service, ["v2"])
+        assert service.versions == {"v1"}
+
+    def test_peers_are_told_what_is_known_but_no_guess(self, started, service):
+        service.add_upstreams("v2", 10)
+        assert service.rollouts.list_old_versions() == {"s": {"v1"}}
+        assert started.rollouts.list_old_versions() == {}
+
+    def test_order_tells_the_target_but_not_the_old_version(self, started):
+        started.add_upstreams("v3", 20, started_ms=3000)
+        started.order("v3")
+        assert started.versions == {"v1"}
