Test that forms are passed on unread

What callers saw: an upload as a form with over 100 parts, or a compressed form, was answered 400, though nobody reads forms here (seen by the review, no case). They are not parsed since bodies are bounded together.

--- a/tests/edge/test_front.py
+++ b/tests/edge/test_front.py
@@ -15,6 +15,7 @@
 from gypsummount._common.metrics import Metrics
 from gypsummount._core.catalog import EdgeRoute
 from gypsummount._core.freshness import FreshnessProof
+from gypsummount._core.sanitizing import Header
 from gypsummount._core.shedding import MIN_ADMITTED
 from gypsummount._edge.admission import RequestContext
 from gypsummount._edge.backends import Need
@@ -81,6 +82,22 @@
         yield FrontHarness(stack)
 
 
+class TestForms:
+    PART = b'--b\r\nContent-Disposition: form-data; name="x"\r\n\r\ny\r\n'
+
+    async def test_form_is_not_parsed(self, harness):
+        """Guards against refusals of forms that only upstreams read."""
+        request = UpstreamRequest(
+            "POST",
+            "/x",
+            (Header("Content-Type", "multipart/form-data; boundary=b"),),
+            self.PART * 150 + b"--b--\r\n",
+            "",
+        )
+        answer = await harness.pool.send(request, 2.0, repeatable=True)
+        assert answer.status == 200
+
+
 class TestShutdown:
     async def test_request_on_a_kept_connection_is_refused_as_not_run(
         self, harness
