Move the stop of an edge out of its process module

The times and steps of a planned stop are a class of their own now, with the values and the order that they had. First starts of versions are found without a call per upstream, as that runs with each change of a record.

--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -1,6 +1,5 @@
 """The edge process: construction, periodic tasks, start and shutdown."""
 
-from asyncio import Event
 from asyncio import sleep
 from contextlib import AsyncExitStack
 from dataclasses import replace
@@ -16,7 +15,6 @@
 from gypsummount._common.tasks import run_periodically
 from gypsummount._common.tasks import start_task
 from gypsummount._core.charts import StateMachine
-from gypsummount._core.draining import Drain
 from gypsummount._core.freshness import FreshnessProof
 from gypsummount._core.quotas import QuotaShares
 from gypsummount._core.readers import Contact
@@ -44,6 +42,7 @@
 from gypsummount._edge.selection import Selection
 from gypsummount._edge.settings import EdgeSettings
 from gypsummount._edge.settings import REQUEST_BODY_FRACTION
+from gypsummount._edge.shutdown import Shutdown
 from gypsummount._edge.sources import Sources
 from gypsummount._edge.status import EdgeStatus
 from gypsummount._edge.store_feed import InstanceRecord
@@ -64,13 +63,6 @@
 ISOLATION_PROOF_AGE_S = 2.0
 REGISTER_RETRY_S = 1.0
 INITIAL_RATE_SHARE = 0.1
-DRAIN_ACCEPT_S = 3.5
-# Callers may use an address this much longer than the directory allows.
-NOTICE_MARGIN_S = 1.0
-# Times (s) before the end of the grace time: when the last request ends,
-# and when the connections are closed.
-LAST_REQUEST_MARGIN_S = 0.6
-CLOSE_MARGIN_S = 0.3
 MS_PER_S = 1000
 
 _log = get_logger("process")
@@ -90,9 +82,7 @@
         self._settings = settings
         self._feed = feed
         self._lifecycle = StateMachine("lifecycle")
-        self._stopping = Event()
-        self._stopped_at = 0.0
-        self._drain = Drain()
+        self._shutdown = Shutdown(self._loop_timer)
         self._incarnation = int(time() * MS_PER_S)
         random = Random(self._incarnation)
         limit_s = settings.bounds.max_proof_age_s
@@ -154,7 +144,7 @@
                     self._tokens,
                     self._rollouts,
                     Random(f"{settings.instance} {self._incarnation}"),
-                    self._drain,
+                    self._shutdown.drain,
                 ),
                 self._retry_budgets,
                 wire,
@@ -182,7 +172,7 @@
     @property
     def phase(self) -> str:
         """Return the lifecycle phase, as announced in digests."""
-        if self._stopping.is_set():
+        if self._shutdown.is_requested:
             return LEAVING
         return SERVING if self.replica.is_ready else STARTING
 
@@ -201,22 +191,11 @@
         _log.info("Settings are reloaded.")
 
     def stop(self) -> None:
-        """Begin the shutdown, in which requests in flight may complete.
-
-        The grace time counts from the signal, which a busy event loop may
-        have handled late.
-        """
-        if self._stopping.is_set():
+        """Begin the shutdown, in which requests in flight may complete."""
+        if self._shutdown.is_requested:
             return
-        now = read_monotonic()
-        self._stopped_at = now - self._loop_timer.get_max_read_delay(now)
-        bounds = self._settings.bounds
-        self._drain.begin(
-            self._stopped_at + bounds.grace_s - LAST_REQUEST_MARGIN_S,
-            self._stopped_at + bounds.lookup_ttl_s + NOTICE_MARGIN_S,
-        )
         _log.info("Stopping.")
-        self._stopping.set()
+        self._shutdown.request(self._settings.bounds)
         self.front.is_closing = True
         self._gossip.send_to_all()
 
@@ -238,8 +217,8 @@
         async with AsyncExitStack() as stack:
             await self._open(stack)
             self._start_tasks(stack)
-            await self._stopping.wait()
-            await self._finish_requests()
+            await self._shutdown.wait()
+            await self._shutdown.finish_requests(self.front)
         _log.info("Stopped.")
 
     async def _open(self, stack: AsyncExitStack) -> None:
@@ -279,16 +258,6 @@
         start_task(stack, self._register(), "register")
         start_task(stack, self.front.watch_disconnects(), "callers")
 
-    async def _finish_requests(self) -> None:
-        """Accept callers for a while, then drain within the grace time."""
-        accept_until = min(
-            self._stopped_at + DRAIN_ACCEPT_S, self._drain.ends_at
-        )
-        while read_monotonic() < accept_until:
-            await sleep(REFRESH_INTERVAL_S)
-        grace_s = self._settings.bounds.grace_s
-        await self.front.drain(self._stopped_at + grace_s - CLOSE_MARGIN_S)
-
     async def _send_digests(self) -> None:
         now = read_monotonic()
         self.peers.remove_expired(now)
--- a/src/gypsummount/_edge/rollouts.py
+++ b/src/gypsummount/_edge/rollouts.py
@@ -207,9 +207,9 @@
         for record in self._replica.upstreams.values():
             versions = found.setdefault(record.service, {})
             started_ms = record.started_ms or inf
-            versions[record.version] = min(
-                started_ms, versions.get(record.version, inf)
-            )
+            known_ms = versions.get(record.version)
+            if known_ms is None or started_ms < known_ms:
+                versions[record.version] = started_ms
         return found
 
     def _choose_baseline(
