Merge the loads of upstreams that digests and bundles repeat

Each digest told the loads of all upstreams that its sender knew, also those that peers had told it, and bundles passed on the loads of each member.

Digests now tell the loads that their sender saw itself, and a bundle has one load for each upstream, the newest. Receivers kept the newest before, too. The choice of the senders to a cold upstream is cached.

--- a/src/gypsummount/_core/slow_start.py
+++ b/src/gypsummount/_core/slow_start.py
@@ -8,12 +8,15 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from functools import lru_cache
 
 from gypsummount._core.placement import combine_hashes
 from gypsummount._core.placement import hash_name
 
 # A rate is divided only so far that each instance gets at least this (1/s).
 MIN_RATE_PER_INSTANCE = 4.0
+# Choices of senders that are kept; one for each upstream of a large fleet.
+MAX_CACHED_CHOICES = 1024
 
 
 @dataclass(slots=True, frozen=True)
@@ -70,6 +73,7 @@
     )
 
 
+@lru_cache(maxsize=MAX_CACHED_CHOICES)
 def _choose_senders(
     names: tuple[str, ...], seed: int, sender_count: int
 ) -> tuple[str, ...]:
--- a/src/gypsummount/_core/upstream_load.py
+++ b/src/gypsummount/_core/upstream_load.py
@@ -174,6 +174,7 @@
         "_faults",
         "_known_objects",
         "_other_load",
+        "_own_report_at",
         "_paused_until",
         "_silent_since",
         "_reported_at",
@@ -200,6 +201,7 @@
         self._known_objects: OrderedDict[int, None] = OrderedDict()
         self._other_load = 0.0
         self._reported_at = 0.0
+        self._own_report_at = 0.0
         self._faults = 0
         self._ejections = 0
         self._ejected_until = 0.0
@@ -358,6 +360,7 @@
         """Record the load that the upstream reported with an answer."""
         self._other_load = max(0.0, running + waiting - self.in_flight)
         self._reported_at = now
+        self._own_report_at = now
 
     def record_peer_report(self, load: float, at: float) -> None:
         """Record the load that a peer saw at a time, unless it is older."""
@@ -366,10 +369,15 @@
             self._reported_at = at
 
     def get_report(self, now: float) -> LoadObservation | None:
-        """Return the latest load seen, if it is recent enough to share."""
+        """Return the load that this instance saw itself, if it is recent.
+
+        A newer load that a peer saw is shared by that peer.
+        """
         age_s = now - self._reported_at
         if age_s > MAX_SHARED_AGE_S:
             return None
+        if self._own_report_at < self._reported_at:
+            return None
         return LoadObservation(self._other_load + self.in_flight, age_s)
 
     def record_refusal(self, now: float, pause_s: float) -> None:
--- a/src/gypsummount/_edge/bundles.py
+++ b/src/gypsummount/_edge/bundles.py
@@ -1,15 +1,23 @@
-"""Bundles: the state of a whole failure domain in a few datagrams."""
+"""Bundles: the state of a whole failure domain in a few datagrams.
+
+The members' loads of upstreams are merged, so that a receiver decodes one
+load for each upstream instead of one for each member and upstream.
+"""
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import field
 from json import loads
 from zlib import error as ZlibError
 
 from gypsummount._common.compression import decompress_bounded
 from gypsummount._common.decoding import DECODING_ERRORS
+from gypsummount._core.upstream_load import LoadObservation
 from gypsummount._edge.digests import compress_json
+from gypsummount._edge.digests import decode_loads
 from gypsummount._edge.digests import decode_state
 from gypsummount._edge.digests import Digest
+from gypsummount._edge.digests import encode_loads
 from gypsummount._edge.digests import encode_state
 from gypsummount._edge.digests import NO_ECHO
 from gypsummount.errors import RecordInvalid
@@ -37,11 +45,13 @@
 class Bundle:
     """A part of what a relay knows of its domain.
 
-    A part holds some of the members.
+    A part holds some of the members.  ``loads`` holds the newest load of
+    each upstream that its members saw; their digests hold none.
     """
 
     domain: str
     members: tuple[RelayedDigest, ...] = ()
+    loads: dict[str, LoadObservation] = field(default_factory=dict)
 
 
 # Tells by name, incarnation and time whether a digest is newer.
@@ -68,6 +78,20 @@
     return MARK + TO_MEMBER + datagram[HEAD_BYTES:]
 
 
+def merge_loads(
+    members: tuple[RelayedDigest, ...],
+) -> dict[str, LoadObservation]:
+    """Return the newest load of each upstream that some members saw."""
+    merged: dict[str, LoadObservation] = {}
+    for member in members:
+        for name, observation in member.digest.loads.items():
+            age_s = member.age_s + observation.age_s
+            known = merged.get(name)
+            if known is None or age_s < known.age_s:
+                merged[name] = LoadObservation(observation.load, age_s)
+    return merged
+
+
 def split_members(
     members: list[RelayedDigest],
 ) -> list[tuple[RelayedDigest, ...]]:
@@ -83,9 +107,10 @@
     raw = {
         "domain": bundle.domain,
         "members": [
-            [round(member.age_s, 3), encode_state(member.digest)]
+            [round(member.age_s, 3), encode_state(member.digest, {})]
             for member in bundle.members
         ],
+        "loads": encode_loads(merge_loads(bundle.members)),
     }
     return MARK + TO_RELAY + compress_json(raw)
 
@@ -110,6 +135,7 @@
                     state["name"], state["incarnation"], state["sent_at"]
                 )
             ),
+            decode_loads(raw.get("loads", ())),
         )
     except (ZlibError, *DECODING_ERRORS) as error:
         raise RecordInvalid(
--- a/src/gypsummount/_edge/digests.py
+++ b/src/gypsummount/_edge/digests.py
@@ -104,7 +104,7 @@
 
 def encode_body(digest: Digest) -> bytes:
     """Return the compressed body, the same for all receivers."""
-    raw = encode_state(digest)
+    raw = encode_state(digest, digest.loads)
     raw["known"] = [[peer.name, peer.host] for peer in digest.known]
     return compress_json(raw)
 
@@ -115,8 +115,27 @@
     return compress(text.encode(), COMPRESSION_LEVEL)
 
 
-def encode_state(digest: Digest) -> dict:
-    """Return a digest for JSON, without the known peers."""
+def encode_loads(loads: dict[str, LoadObservation]) -> list:
+    """Return loads of upstreams for JSON."""
+    return [
+        [name, round(observation.load, 1), round(observation.age_s, 2)]
+        for name, observation in loads.items()
+    ]
+
+
+def decode_loads(raw: list) -> dict[str, LoadObservation]:
+    """Return the loads of a decoded document.
+
+    :raises Exception: one of :data:`DECODING_ERRORS` for malformed ones.
+    """
+    return {
+        name: LoadObservation(float(load), float(age_s))
+        for name, load, age_s in raw
+    }
+
+
+def encode_state(digest: Digest, loads: dict[str, LoadObservation]) -> dict:
+    """Return a digest with the given loads, without the known peers."""
     raw = {
         "name": digest.name,
         "incarnation": digest.incarnation,
@@ -137,10 +156,7 @@
         "revisions": digest.revisions,
         "rollouts": [asdict(rollout) for rollout in digest.rollouts],
         "capacity": digest.capacity,
-        "loads": [
-            [name, round(observation.load, 1), round(observation.age_s, 2)]
-            for name, observation in digest.loads.items()
-        ],
+        "loads": encode_loads(loads),
     }
     if digest.old_versions:
         raw["old_versions"] = {
@@ -184,10 +200,7 @@
     raw["rollouts"] = tuple(
         _decode_rollout(rollout) for rollout in raw["rollouts"]
     )
-    raw["loads"] = {
-        name: LoadObservation(float(load), float(age_s))
-        for name, load, age_s in raw.get("loads", ())
-    }
+    raw["loads"] = decode_loads(raw.get("loads", ()))
     raw["known"] = tuple(KnownPeer(*peer) for peer in raw.get("known", ()))
     raw["old_versions"] = {
         service: frozenset(str(version) for version in versions)
--- a/src/gypsummount/_edge/gossip.py
+++ b/src/gypsummount/_edge/gossip.py
@@ -9,6 +9,7 @@
 from gypsummount._common.logs import get_logger
 from gypsummount._core.groups import Member
 from gypsummount._core.rotation import Rotation
+from gypsummount._core.upstream_load import LoadObservation
 from gypsummount._edge.bundles import Bundle
 from gypsummount._edge.bundles import decode_bundle
 from gypsummount._edge.bundles import encode_bundle
@@ -39,6 +40,9 @@
 # Gets a digest and when it was sent (this instance's boot clock, s).
 DigestHandler = Callable[[Digest, float], None]
 DatagramHandler = Callable[[bytes, str], None]
+# Gets loads of upstreams and the time to which their ages refer (this
+# instance's boot clock, s).
+LoadsHandler = Callable[[dict[str, LoadObservation], float], None]
 
 
 class Gossip(DatagramProtocol):
@@ -52,6 +56,7 @@
         peers: Peers,
         build_digest: DigestBuilder,
         handle_digest: DigestHandler,
+        handle_loads: LoadsHandler,
     ) -> None:
         self._name = name
         self._host = host
@@ -59,6 +64,7 @@
         self._peers = peers
         self._build_digest = build_digest
         self._handle_digest = handle_digest
+        self._handle_loads = handle_loads
         self._handlers: dict[bytes, DatagramHandler] = {}
         self._same_region = Rotation()
         self._other_regions = Rotation()
@@ -214,6 +220,7 @@
             digest = member.digest
             self.add_host(digest.name, digest.host)
             self._handle_digest(digest, now - member.age_s)
+        self._handle_loads(bundle.loads, now)
         if self._name in self._relays and not is_forwarded(data):
             hosts = [
                 host
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -124,6 +124,7 @@
             self.peers,
             self._build_digest,
             self._handle_digest,
+            self._selection.apply_loads,
         )
         self._tokens = Tokens(
             settings.instance,
--- a/tests/edge/test_peers.py
+++ b/tests/edge/test_peers.py
@@ -9,6 +9,7 @@
 from gypsummount._core.groups import MIN_FLEET
 from gypsummount._core.quotas import PeerQuotas
 from gypsummount._core.quotas import QuotaDemand
+from gypsummount._core.upstream_load import LoadObservation
 from gypsummount._edge.bundles import Bundle
 from gypsummount._edge.bundles import decode_bundle
 from gypsummount._edge.bundles import encode_bundle
@@ -186,6 +187,26 @@
         assert is_forwarded(forwarded)
         assert decode_bundle(forwarded) == bundle
 
+    def test_members_loads_are_merged_to_the_newest_of_each_upstream(self):
+        """Guards against decoding each member's loads of all upstreams."""
+        older = replace(
+            build_digest(1, "r2"),
+            loads={
+                "u1": LoadObservation(4.0, 0.1),
+                "u2": LoadObservation(1.0, 0.2),
+            },
+        )
+        newer = replace(
+            build_digest(2, "r2"), loads={"u1": LoadObservation(7.0, 0.3)}
+        )
+        members = (RelayedDigest(older, 0.5), RelayedDigest(newer, 0.25))
+        decoded = decode_bundle(encode_bundle(Bundle("r2-a", members)))
+        assert decoded.loads == {
+            "u1": LoadObservation(7.0, 0.55),
+            "u2": LoadObservation(1.0, 0.7),
+        }
+        assert not any(member.digest.loads for member in decoded.members)
+
     def test_part_of_a_domain_fits_one_packet(self):
         members = [
             RelayedDigest(
--- a/tests/edge/test_selection.py
+++ b/tests/edge/test_selection.py
@@ -448,3 +448,13 @@
         loads = selection.list_loads()
         assert loads.keys() == {pick.backend.record.name}
         assert loads[pick.backend.record.name].load == 5.0
+
+    async def test_load_that_a_peer_saw_is_not_passed_on(self, selection):
+        """Guards against digests that repeat what others have told."""
+        pick = await acquire(selection, self.create_need(7))
+        name = pick.backend.record.name
+        now = read_monotonic()
+        selection.apply_loads({name: LoadObservation(5.0, 0.0)}, now)
+        assert selection.list_loads() == {}
+        pick.backend.load.record_load_report(3, 2, read_monotonic())
+        assert selection.list_loads().keys() == {name}
