Let the store's reading tasks wait without polling

Each instance that does not read the store woke up 96 times a second, in five tasks, to look whether it should. The tasks now wait for an event.

--- a/src/gypsummount/_edge/store_reader.py
+++ b/src/gypsummount/_edge/store_reader.py
@@ -1,5 +1,6 @@
 """Reading of the store: lists, watches and freshness proofs."""
 
+from asyncio import Event
 from asyncio import sleep
 from random import Random
 
@@ -93,12 +94,25 @@
         self._replica = replica
         self._random = random
         self.contact = StoreContact(replica)
-        self.is_reading = True
+        self._reading = Event()
+        self._reading.set()
         # Kinds to be listed after a failure, and kinds that were listed since
         # reading began.
         self._failed: set[Kind] = set()
         self._confirmed: set[Kind] = set()
 
+    @property
+    def is_reading(self) -> bool:
+        """Tell whether new calls to the store may begin."""
+        return self._reading.is_set()
+
+    @is_reading.setter
+    def is_reading(self, value: bool) -> None:
+        if value:
+            self._reading.set()
+        else:
+            self._reading.clear()
+
     def get_contact(self) -> Contact:
         """Return the contact with the store that digests announce."""
         if self.contact.is_lost:
@@ -113,6 +127,7 @@
         while True:
             if not self.is_reading:
                 self._confirmed.discard(kind)
+                await self._reading.wait()
             if not self._may_read(kind):
                 await sleep(IDLE_CHECK_S)
                 continue
