Order store states across restores by era and revision

A store that is restored from an older copy reuses revisions. The adapter reads the header Store-Era of every answer and combines era and revision into one position; the replica keeps, withholds or compares records in the first listing of a new era, and the reader lists every kind again.

--- a/src/gypsummount/_core/freshness.py
+++ b/src/gypsummount/_core/freshness.py
@@ -52,6 +52,16 @@
         if age_s is not None:
             self._apply(revision, asked_at - age_s)
 
+    def withdraw(self, revision: int) -> None:
+        """Discard the proof: an older revision is in force instead.
+
+        This happens after a restore of the store, when a peer still holds a
+        configuration that the store has lost.
+        """
+        self.revision = revision
+        self.proved_at = float("-inf")
+        self._notified_at = float("-inf")
+
     def get_age(self, now: float) -> float | None:
         """Return the age (s) of the proof; None without a proof."""
         if self.revision == 0:
--- a/src/gypsummount/_edge/copies.py
+++ b/src/gypsummount/_edge/copies.py
@@ -8,7 +8,7 @@
 
 from gypsummount._common.compression import decompress_bounded
 from gypsummount._common.decoding import DECODING_ERRORS
-from gypsummount._edge.replica import RecordName
+from gypsummount._edge.change_log import RecordName
 from gypsummount._edge.replica import Replica
 from gypsummount._edge.replica import REQUIRED_KINDS
 from gypsummount._edge.store_feed import Kind
--- a/src/gypsummount/_edge/follower.py
+++ b/src/gypsummount/_edge/follower.py
@@ -190,5 +190,11 @@
         self._probe_delay_s = min(MAX_PROBE_DELAY_S, 2 * self._probe_delay_s)
 
     def _is_proof_recent(self) -> bool:
+        """Tell whether reading the store would give no newer proof.
+
+        While the store lacks the configuration in force, none does.
+        """
+        if self._replica.is_catalog_withheld:
+            return True
         age_s = self._replica.proof.get_age(read_monotonic())
         return age_s is not None and age_s <= self._max_proof_age_s
--- a/src/gypsummount/_edge/replica.py
+++ b/src/gypsummount/_edge/replica.py
@@ -1,15 +1,19 @@
 """An edge instance's replica of the store's records."""
 
-from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from gypsummount._common.logs import get_logger
 from gypsummount._core.catalog import Catalog
 from gypsummount._core.catalog import RolloutOrder
 from gypsummount._core.catalog import UpstreamRecord
 from gypsummount._core.freshness import FreshnessProof
+from gypsummount._core.positions import get_era
+from gypsummount._core.positions import get_revision
 from gypsummount._core.registrations import RegistrationOrder
+from gypsummount._core.restores import CatalogChoice
+from gypsummount._edge.change_log import ChangeLog
+from gypsummount._edge.change_log import RecordName
+from gypsummount._edge.restores import Restores
 from gypsummount._edge.store_feed import InstanceRecord
 from gypsummount._edge.store_feed import Kind
 from gypsummount._edge.store_feed import Listing
@@ -19,23 +23,17 @@
 from gypsummount.errors import RecordInvalid
 
 REMOVAL_HOLD_S = 2.0
-MAX_RECENT_CHANGES = 4000
 REQUIRED_KINDS = (Kind.CATALOG, Kind.UPSTREAM, Kind.EVACUATION, Kind.ROLLOUT)
 
 _log = get_logger("belief")
 
 
-@dataclass(slots=True, frozen=True)
-class RecordName:
-    """Identifies a record of the store, whether present or removed."""
-
-    kind: Kind
-    name: str
-
-
 class Replica:
     """The newest known records of each kind, decoded.
 
+    Revisions are positions (:mod:`gypsummount._core.positions`), so that
+    they also order the states before and after a restore of the store.
+
     Five attributes state how current it is:
 
     ``revisions``: by kind, the store revision up to which the records
@@ -61,6 +59,7 @@
         }
         self._removal_due_at: dict[str, float] = {}
         self._registration_order = RegistrationOrder()
+        self.restores = Restores()
         self.proof = proof
         self.revisions: dict[Kind, int] = {}
         self.changed: dict[Kind, int] = {}
@@ -71,10 +70,7 @@
         self.rollouts: dict[str, RolloutOrder] = {}
         self.instances: dict[str, InstanceRecord] = {}
         self.changes = 0
-        self.sequence = 0
-        self._recent_changes: OrderedDict[RecordName, int] = OrderedDict()
-        self._discarded_until = 0
-        self._listeners: list[Callable[[], None]] = []
+        self._log = ChangeLog()
         self.store_recovered_at = float("-inf")
 
     def is_known(self, kind: Kind) -> bool:
@@ -87,10 +83,33 @@
 
         If not, an older one stays in force, if there is one.
         """
+        if self.is_catalog_withheld:
+            return False
         records = self._records[Kind.CATALOG].values()
         newest = max((record.revision for record in records), default=0)
         return newest == self.catalog_revision
 
+    @property
+    def is_catalog_withheld(self) -> bool:
+        """Tell whether one of an earlier era is in force.
+
+        The store was restored and does not have the version in force.
+        """
+        changed = self.changed.get(Kind.CATALOG, 0)
+        return self.catalog is not None and (
+            get_era(changed) > get_era(self.catalog_revision)
+        )
+
+    @property
+    def sequence(self) -> int:
+        """Return the number of the latest change of a record."""
+        return self._log.sequence
+
+    @property
+    def era(self) -> int:
+        """Return the newest era of the store of which records are known."""
+        return max(map(get_era, self.revisions.values()), default=0)
+
     @property
     def is_ready(self) -> bool:
         """Tell whether all records that steering needs are known."""
@@ -104,7 +123,7 @@
 
     def listen(self, listener: Callable[[], None]) -> None:
         """Register a listener to be called after every change of a record."""
-        self._listeners.append(listener)
+        self._log.listen(listener)
 
     def find_record(self, name: RecordName) -> Record | None:
         """Return a record, or None if it is removed or unknown."""
@@ -113,46 +132,65 @@
     def list_changed_after(self, after: int) -> list[RecordName] | None:
         """Return the records changed after a sequence number, oldest first.
 
-        Return None if later changes were discarded or if the number has
-        not been reached: the list would be incomplete, so the peer needs
-        a complete copy.
+        Return None if the peer needs a complete copy instead.
         """
-        if after < self._discarded_until or after > self.sequence:
-            return None
-        changed_names = []
-        for name in reversed(self._recent_changes):
-            if self._recent_changes[name] <= after:
-                break
-            changed_names.append(name)
-        changed_names.reverse()
-        return changed_names
+        return self._log.list_after(after)
 
     def record_latest_change(self, kind: Kind, revision: int) -> None:
-        """Record that a peer knows of a change at a store revision."""
-        self._record_latest_change(kind, revision)
+        """Record that this instance or a peer knows of a change."""
+        self.changed[kind] = max(self.changed.get(kind, 0), revision)
 
     def apply_listing(self, kind: Kind, listing: Listing, now: float) -> None:
         """Replace the records of a kind by a complete listing.
 
-        An outdated listing is ignored.
+        An outdated listing is ignored.  The first one after a restore of
+        the store tells what the restore lost.
         """
-        if listing.revision < self.revisions.get(kind, 0):
+        known = self.revisions.get(kind, 0)
+        if listing.revision < known:
+            if self.restores.may_keep_catalog(kind, listing, known):
+                for record in listing.records:
+                    self._store_catalog(record, listing.origin)
             return
+        if kind not in self.revisions:
+            self.restores.begin_first(kind, listing, now)
+        elif get_era(listing.revision) > get_era(known):
+            self._begin_era(kind, listing, now)
         names = {record.name for record in listing.records}
         for name in list(self._records[kind]):
-            if name not in names:
+            if name not in names and not self.restores.is_kept(kind, name):
                 self._remove_or_hold(kind, name, listing.revision, now)
         for record in listing.records:
-            self._store_record(record, listing.origin)
+            self._store_record(record, listing.origin, now)
         self.revisions[kind] = listing.revision
 
+    def _begin_era(self, kind: Kind, listing: Listing, now: float) -> None:
+        # Followers copy all records anew, as their own differ from these.
+        self._log.discard()
+        self.restores.begin(
+            listing,
+            self._records[kind],
+            self._get_values(kind),
+            self._feed.decode,
+            kind,
+            now,
+        )
+        if kind is Kind.UPSTREAM:
+            self.record_store_recovery(now)
+
+    def _get_values(self, kind: Kind) -> dict:
+        """Return the values of a kind whose changes are compared."""
+        if kind is Kind.UPSTREAM:
+            return self.upstreams
+        return self.rollouts if kind is Kind.ROLLOUT else {}
+
     def apply_changes(self, kind: Kind, listing: Listing, now: float) -> None:
         """Apply a listing that holds only changed and deleted records."""
         for record in listing.records:
             if record.is_deleted:
                 self._remove_or_hold(kind, record.name, record.revision, now)
             else:
-                self._store_record(record, listing.origin)
+                self._store_record(record, listing.origin, now)
         known = self.revisions.get(kind, 0)
         self.revisions[kind] = max(known, listing.revision)
 
@@ -168,6 +206,7 @@
         """Remove the upstreams whose delayed removal is due at ``now``.
 
         They have not renewed their registration since the store recovered.
+        After a restore, the holds that are due end as well.
         """
         for name in [
             name
@@ -175,20 +214,37 @@
             if due_at <= now
         ]:
             del self._removal_due_at[name]
-            self._remove_now(Kind.UPSTREAM, name)
-
-    def _store_record(self, record: Record, origin: Origin) -> None:
+            self._remove_now(Kind.UPSTREAM, name, now)
+        for kind in (Kind.EVACUATION, Kind.ROLLOUT, Kind.INSTANCE):
+            for name in self.restores.take_lost(kind, now):
+                self._remove_now(kind, name, now)
+            for name in self.restores.take_accepted(kind, now):
+                self._use_record(self._records[kind][name], Origin.LIST)
+
+    def _store_record(
+        self, record: Record, origin: Origin, now: float
+    ) -> None:
+        if record.kind is Kind.CATALOG and self._store_catalog(record, origin):
+            return
         known = self._records[record.kind].get(record.name)
-        if known is None and self._was_removed(record, origin):
+        if known is None and self._was_removed(record, origin, now):
             return
         if known is not None and known.revision >= record.revision:
             if record.name in self._removal_due_at:
                 del self._removal_due_at[record.name]
             return
-        self._records[record.kind][record.name] = record
-        self._mark_changed(record.kind, record.name)
-        self._record_latest_change(record.kind, record.revision)
+        self._put_record(record)
         self._removal_due_at.pop(record.name, None)
+        value = self._get_values(record.kind).get(record.name)
+        if self.restores.admits(record, value, self._feed.decode, now):
+            self._use_record(record, origin)
+
+    def _put_record(self, record: Record) -> None:
+        self._records[record.kind][record.name] = record
+        self._log.record(record.kind, record.name)
+        self.record_latest_change(record.kind, record.revision)
+
+    def _use_record(self, record: Record, origin: Origin) -> None:
         try:
             value = self._feed.decode(record)
         except RecordInvalid as error:
@@ -201,6 +257,26 @@
         self._store_value(record, value, origin)
         self.changes += 1
 
+    def _store_catalog(self, record: Record, origin: Origin) -> bool:
+        """Store or skip a configuration of another era; tell if it is one."""
+        choice = self.restores.judge_catalog(
+            record,
+            self._records[Kind.CATALOG].get(record.name),
+            self.catalog,
+            self.catalog_revision,
+            self._feed.decode,
+        )
+        if choice is CatalogChoice.SAME_ERA:
+            return False
+        if choice is CatalogChoice.WITHHOLD:
+            self.record_latest_change(Kind.CATALOG, record.revision)
+        if choice is CatalogChoice.USE:
+            if record.revision < self.catalog_revision:
+                self.proof.withdraw(record.revision)
+            self._put_record(record)
+            self._use_record(record, origin)
+        return True
+
     def _store_value(
         self, record: Record, value: object, origin: Origin
     ) -> None:
@@ -212,7 +288,7 @@
                 value.version,
                 extra={
                     "object": record.name,
-                    "revision": record.revision,
+                    "revision": get_revision(record.revision),
                     "origin": origin.value,
                 },
             )
@@ -226,16 +302,16 @@
             # An evacuation has no value; its name is that of the domain.
             self.evacuated = self.evacuated | {record.name}
 
-    def _was_removed(self, record: Record, origin: Origin) -> bool:
+    def _was_removed(self, record: Record, origin: Origin, now: float) -> bool:
         """Tell whether a peer sent a record that has since been removed.
 
         The replica of a kind is complete up to its revision, so a
         record up to that revision that is missing here was removed.
         """
-        is_copy = origin is Origin.COPY
-        return is_copy and record.revision <= self.revisions.get(
-            record.kind, -1
-        )
+        complete_to = self.revisions.get(record.kind, -1)
+        if origin is not Origin.COPY or record.revision > complete_to:
+            return False
+        return not self.restores.accept_kept(record, complete_to, now)
 
     def _apply_upstream(self, value: UpstreamRecord) -> None:
         known = self.upstreams.get(value.name)
@@ -260,7 +336,7 @@
         # A deleted configuration stays in force.
         if kind is Kind.CATALOG:
             return
-        self._record_latest_change(kind, revision)
+        self.record_latest_change(kind, revision)
         must_hold = kind is Kind.UPSTREAM and (
             now < self.store_recovered_at + REMOVAL_HOLD_S
         )
@@ -269,24 +345,13 @@
             due_at = self.store_recovered_at + REMOVAL_HOLD_S
             self._removal_due_at.setdefault(name, due_at)
             return
-        self._remove_now(kind, name)
-
-    def _record_latest_change(self, kind: Kind, revision: int) -> None:
-        self.changed[kind] = max(self.changed.get(kind, 0), revision)
+        self._remove_now(kind, name, now)
 
-    def _mark_changed(self, kind: Kind, name: str) -> None:
-        self.sequence += 1
-        record_name = RecordName(kind, name)
-        self._recent_changes[record_name] = self.sequence
-        self._recent_changes.move_to_end(record_name)
-        if len(self._recent_changes) > MAX_RECENT_CHANGES:
-            _, self._discarded_until = self._recent_changes.popitem(last=False)
-        for listener in self._listeners:
-            listener()
-
-    def _remove_now(self, kind: Kind, name: str) -> None:
+    def _remove_now(self, kind: Kind, name: str, now: float) -> None:
+        value = self._get_values(kind).get(name)
+        self.restores.record_removal(kind, name, value, now)
         self._records[kind].pop(name, None)
-        self._mark_changed(kind, name)
+        self._log.record(kind, name)
         self._forget_value(kind, name)
         self.changes += 1
 
--- a/src/gypsummount/_edge/store_feed.py
+++ b/src/gypsummount/_edge/store_feed.py
@@ -33,7 +33,11 @@
 
 @dataclass(slots=True, frozen=True)
 class Record:
-    """An object of the store; ``payload`` is its encoded value."""
+    """An object of the store; ``payload`` is its encoded value.
+
+    ``revision`` is a position (:mod:`gypsummount._core.positions`): the
+    store's revision combined with its era.
+    """
 
     kind: Kind
     name: str
@@ -52,7 +56,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Listing:
-    """Records of a kind and the store revision that they reflect.
+    """Records of a kind and the store's position that they reflect.
 
     The records are all records of the kind, or only those that changed
     after an earlier revision; whoever passes a listing states which.
@@ -67,12 +71,21 @@
     """Reads, watches and writes the store.
 
     Every call ends within a time limit.  A failed call raises
-    :class:`gypsummount.errors.StoreUnavailable`.
+    :class:`gypsummount.errors.StoreUnavailable`.  Revisions are positions
+    (:mod:`gypsummount._core.positions`) in all arguments and results.
     """
 
+    @property
+    def era(self) -> int:
+        """Return the newest known era of the store; 0 without eras."""
+        return 0
+
     @abstractmethod
     async def list(self, kind: Kind) -> Listing:
-        """Return all records of a kind, by a linearizable read."""
+        """Return all records of a kind, by a linearizable read.
+
+        :raises HistoryDiscarded: when the store was restored meanwhile.
+        """
 
     @abstractmethod
     async def watch(self, kind: Kind, revision: int, wait_s: float) -> Listing:
@@ -81,7 +94,7 @@
         The listing is empty if there were none in that time.
 
         :raises HistoryDiscarded: when the store has discarded changes after
-            the revision.
+            the revision, or was restored since.
         """
 
     @abstractmethod
@@ -90,7 +103,8 @@
     ) -> None:
         """Write the state of an order, unless the order has changed.
 
-        :raises StoreConflict: when another writer has changed it.
+        :raises StoreConflict: when another writer has changed it, or the
+            store was restored since it was read.
         """
 
     @abstractmethod
--- a/src/gypsummount/_edge/store_reader.py
+++ b/src/gypsummount/_edge/store_reader.py
@@ -1,18 +1,24 @@
 """Reading of the store: lists, watches and freshness proofs."""
 
+from asyncio import get_running_loop
 from asyncio import sleep
+from asyncio import Timeout
+from asyncio import timeout
 from random import Random
 
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.logs import get_logger
 from gypsummount._core.charts import StateMachine
 from gypsummount._core.pacing import Pace
+from gypsummount._core.positions import get_era
 from gypsummount._core.readers import Contact
 from gypsummount._edge.replica import Replica
 from gypsummount._edge.store_feed import Kind
+from gypsummount._edge.store_feed import Listing
 from gypsummount._edge.store_feed import StoreFeed
 from gypsummount.errors import HistoryDiscarded
 from gypsummount.errors import StoreError
+from gypsummount.errors import StoreUnavailable
 
 WATCH_WAIT_S = {
     Kind.CATALOG: 5.0,
@@ -32,6 +38,8 @@
 MAX_BACKOFF_S = 0.8
 PROOF_RENEWAL_AGE_S = 1.0
 PROOF_STAGGER_S = 0.15
+# While the store lacks the configuration in force, no read renews the proof.
+WITHHELD_READ_INTERVAL_S = 1.0
 IDLE_CHECK_S = 0.05
 FAILURES_UNTIL_LOST = 3
 
@@ -84,6 +92,9 @@
     replica holds, so that it costs no list of thousands of records.  New
     calls begin only while ``is_reading`` is true.  When it becomes false,
     an open watch still runs until its time limit.
+
+    After a restore of the store, which starts a new era, open watches end
+    and every kind is listed again.
     """
 
     def __init__(
@@ -98,6 +109,9 @@
         # reading began.
         self._failed: set[Kind] = set()
         self._confirmed: set[Kind] = set()
+        self._open_watches: dict[Kind, Timeout] = {}
+        self._era = 0
+        self._read_due_at = float("-inf")
 
     def get_contact(self) -> Contact:
         """Return the contact with the store that digests announce."""
@@ -117,7 +131,7 @@
                 await sleep(IDLE_CHECK_S)
                 continue
             try:
-                if kind in self._failed or not self._replica.is_known(kind):
+                if self._must_list(kind):
                     await self._list(kind)
                 self._failed.discard(kind)
                 delay_s = INITIAL_BACKOFF_S
@@ -139,6 +153,35 @@
                 )
                 delay_s = await self._back_off(delay_s)
 
+    def _must_list(self, kind: Kind) -> bool:
+        """Tell whether the records of a kind cannot be watched onwards."""
+        if kind in self._failed or not self._replica.is_known(kind):
+            return True
+        return get_era(self._replica.revisions[kind]) < self._era
+
+    def note_era(self, era: int) -> None:
+        """End the watches of earlier eras if an era is newer than known."""
+        if era <= self._era:
+            return
+        self._era = era
+        now = get_running_loop().time()
+        for kind, scope in self._open_watches.items():
+            if get_era(self._replica.revisions[kind]) < era:
+                scope.reschedule(now)
+
+    def _check_era(self, listing: Listing) -> None:
+        """Check that a listing is not older than what is known.
+
+        :raises StoreUnavailable: when it is of an earlier era.
+        """
+        era = get_era(listing.revision)
+        self.note_era(max(era, self._replica.era))
+        if era < self._era:
+            raise StoreUnavailable(
+                f"the store answered from its earlier era {era}; check that "
+                "no replica of it runs on an old copy"
+            )
+
     def _may_read(self, kind: Kind) -> bool:
         """Tell whether to read a kind.
 
@@ -164,7 +207,12 @@
         """
         if not self.is_reading or self.contact.is_lost:
             return
+        self.note_era(max(self._feed.era, self._replica.era))
         now = read_monotonic()
+        if self._replica.is_catalog_withheld:
+            if now < self._read_due_at:
+                return
+            self._read_due_at = now + WITHHELD_READ_INTERVAL_S
         age_s = self._replica.proof.get_age(now)
         limit_s = PROOF_RENEWAL_AGE_S + PROOF_STAGGER_S * preceding
         if age_s is not None and age_s < limit_s:
@@ -183,6 +231,7 @@
     async def _list(self, kind: Kind) -> None:
         started_at = read_monotonic()
         listing = await self._feed.list(kind)
+        self._check_era(listing)
         self.contact.record_answer()
         self._replica.apply_listing(kind, listing, read_monotonic())
         self._confirmed.add(kind)
@@ -198,10 +247,31 @@
             is_due = read_monotonic() >= confirm_at
             if is_due and kind not in self._confirmed:
                 await self._list(kind)
-            revision = self._replica.revisions[kind]
-            changes = await self._feed.watch(
-                kind, revision, WATCH_WAIT_S[kind]
-            )
+            changes = await self._watch_once(kind)
+            self._check_era(changes)
             self.contact.record_answer()
             self._replica.apply_changes(kind, changes, read_monotonic())
             await sleep(pace.take(read_monotonic()))
+
+    async def _watch_once(self, kind: Kind) -> Listing:
+        """Watch a kind from the known records on, within their era.
+
+        :raises HistoryDiscarded: when the store was restored.
+        """
+        if self._must_list(kind):
+            raise HistoryDiscarded("the store was restored; list again")
+        revision = self._replica.revisions[kind]
+        try:
+            async with timeout(None) as scope:
+                self._open_watches[kind] = scope
+                return await self._feed.watch(
+                    kind, revision, WATCH_WAIT_S[kind]
+                )
+        except TimeoutError:
+            if not scope.expired():
+                raise
+            raise HistoryDiscarded(
+                "the store was restored; list again"
+            ) from None
+        finally:
+            self._open_watches.pop(kind, None)
--- a/src/gypsummount/platform/documents.py
+++ b/src/gypsummount/platform/documents.py
@@ -40,6 +40,8 @@
 from gypsummount._core.catalog import EdgeWorkspace
 from gypsummount._core.catalog import RolloutOrder
 from gypsummount._core.catalog import UpstreamRecord
+from gypsummount._core.positions import combine_position
+from gypsummount._core.positions import get_era
 from gypsummount._edge.store_feed import InstanceRecord
 from gypsummount._edge.store_feed import Kind
 from gypsummount._edge.store_feed import Record
@@ -197,7 +199,9 @@
         spec["targetVersion"],
         float(spec["durationS"]),
         record.revision,
-        int(raw["metadata"]["created"]),
+        combine_position(
+            get_era(record.revision), int(raw["metadata"]["created"])
+        ),
         str(status.get("state") or ""),
         str(status.get("targetVersion") or ""),
     )
--- a/src/gypsummount/platform/store.py
+++ b/src/gypsummount/platform/store.py
@@ -2,9 +2,11 @@
 
 This is not the store of the agents (:mod:`gypsummount._store`).  An
 object here has a kind, a name and a revision, and each write gives the
-store a new revision.
+store a new revision.  Revisions enter the product as positions
+(:mod:`gypsummount._core.positions`), which include the store's era.
 """
 
+from dataclasses import dataclass
 from json import dumps
 from typing import Any
 from typing import final
@@ -14,6 +16,8 @@
 from gypsummount._common.lenient_json import load_lenient
 from gypsummount._common.logs import get_logger
 from gypsummount._core.catalog import RolloutOrder
+from gypsummount._core.positions import combine_position
+from gypsummount._core.positions import get_era
 from gypsummount._core.sanitizing import Header
 from gypsummount._edge.store_feed import InstanceRecord
 from gypsummount._edge.store_feed import Kind
@@ -30,6 +34,7 @@
 from gypsummount.errors import StoreConflict
 from gypsummount.errors import StoreUnavailable
 from gypsummount.platform.documents import decode_record
+from gypsummount.platform.eras import StoreEras
 
 CALL_TIMEOUT_S = 1.0
 # Time beyond the requested wait after which a watch counts as failed.
@@ -52,6 +57,14 @@
 _log = get_logger("store")
 
 
+@dataclass(slots=True, frozen=True)
+class StoreAnswer:
+    """The decoded body of an answer and the store's era in it."""
+
+    raw: dict[str, Any]
+    era: int
+
+
 @final
 class StoreClient(StoreFeed):
     """Calls the store over pooled connections, one call at a time on each.
@@ -64,30 +77,41 @@
 
     def __init__(self, address: str) -> None:
         self._pool = ConnectionPool(address, max_fresh_age_s=KEPT_S)
+        self._eras = StoreEras()
+
+    @property
+    def era(self) -> int:
+        """Return the newest known era of the store."""
+        return self._eras.newest
 
     async def list(self, kind: Kind) -> Listing:
         """Return all records of a kind, read page by page.
 
+        :raises HistoryDiscarded: when the store was restored between two
+            pages.
         :raises StoreUnavailable: when a page cannot be read.
         """
         records: list[Record] = []
         after = ""
-        revision = 0
+        position: int | None = None
         while True:
             path = f"/-/objects/{KIND_PATHS[kind]}"
             if after:
                 path += f"?after={quote(after, safe='')}"
-            raw = await self._call("GET", path)
+            answer = await self._call("GET", path)
+            raw = answer.raw
             items = _read_list(raw, "items")
-            page = [_read_record(kind, item) for item in items]
+            page = [_read_record(kind, answer.era, item) for item in items]
             records.extend(item for item in page if item is not None)
             # ``at`` is the store's revision when it answered.  Records can
             # change while pages are read.  The listing has the revision of
             # the first page, so that a watch from there also returns
             # changes made after that page was read.
-            revision = revision or _read_revision(raw)
+            position = position or _read_position(answer)
+            if answer.era and get_era(position) != answer.era:
+                raise _build_restored()
             if not raw.get("hasMore") or not items:
-                return Listing(tuple(records), revision)
+                return Listing(tuple(records), position)
             after = _find_last_name(items)
 
     async def watch(self, kind: Kind, revision: int, wait_s: float) -> Listing:
@@ -99,18 +123,27 @@
         :raises HistoryDiscarded: when the store has discarded these changes.
         :raises StoreUnavailable: when the call fails.
         """
+        sent = self._eras.get_sent_revision(revision)
         path = (
-            f"/-/objects/{KIND_PATHS[kind]}?watch={revision}"
+            f"/-/objects/{KIND_PATHS[kind]}?watch={sent}"
             f"&waitMs={int(wait_s * MS_PER_S)}"
         )
-        raw = await self._call("GET", path, wait_s + WATCH_MARGIN_S)
+        answer = await self._call("GET", path, wait_s + WATCH_MARGIN_S)
+        # In a later era, the revision stands for another change.
+        if answer.era != (get_era(revision) if sent != revision else 0):
+            raise _build_restored()
         records = [
-            _read_record(kind, event.get("object"), bool(event.get("deleted")))
-            for event in _read_list(raw, "events")
+            _read_record(
+                kind,
+                answer.era,
+                event.get("object"),
+                bool(event.get("deleted")),
+            )
+            for event in _read_list(answer.raw, "events")
             if isinstance(event, dict)
         ]
         changes = tuple(item for item in records if item is not None)
-        return Listing(changes, _read_revision(raw), Origin.WATCH)
+        return Listing(changes, _read_position(answer), Origin.WATCH)
 
     async def write_rollout_state(
         self, order: RolloutOrder, state: str
@@ -118,11 +151,13 @@
         """Write the state of a rollout order, unless the order has changed.
 
         :raises StoreConflict: when the order has another revision in the
-            store.
+            store, or is of an earlier era.
         :raises StoreUnavailable: when the call fails.
         """
+        self._eras.check_condition(order.revision)
+        revision = self._eras.get_sent_revision(order.revision)
         body = {
-            "metadata": {"name": order.service, "revision": order.revision},
+            "metadata": {"name": order.service, "revision": revision},
             "status": {"state": state, "targetVersion": order.target},
         }
         path = f"/-/objects/rollouts/{quote(order.service, safe='')}/status"
@@ -162,7 +197,7 @@
         timeout_s: float = CALL_TIMEOUT_S,
         *,
         body: dict[str, Any] | None = None,
-    ) -> dict[str, Any]:
+    ) -> StoreAnswer:
         request = UpstreamRequest(
             method,
             path,
@@ -178,7 +213,8 @@
             )
         except ExchangeError as error:
             raise StoreUnavailable(f"{error}") from None
-        return _read_answer(answer)
+        era = self._eras.accept(answer.headers)
+        return StoreAnswer(_read_answer(answer), era)
 
 
 def _read_answer(answer: UpstreamAnswer) -> dict[str, Any]:
@@ -207,6 +243,10 @@
     )
 
 
+def _build_restored() -> HistoryDiscarded:
+    return HistoryDiscarded("the store was restored; list the kind again")
+
+
 def _read_list(raw: dict[str, Any], name: str) -> list[Any]:
     """Return a list of an answer; one that is missing is empty."""
     value = raw.get(name) or []
@@ -215,11 +255,14 @@
     return value
 
 
-def _read_revision(raw: dict[str, Any]) -> int:
-    revision = raw.get("at")
+def _read_position(answer: StoreAnswer) -> int:
+    revision = answer.raw.get("at")
     if isinstance(revision, bool) or not isinstance(revision, int):
         raise _build_unreadable()
-    return revision
+    try:
+        return combine_position(answer.era, revision)
+    except ValueError:
+        raise _build_unreadable() from None
 
 
 def _find_last_name(items: list[Any]) -> str:
@@ -237,11 +280,11 @@
 
 
 def _read_record(
-    kind: Kind, raw: object, is_deleted: bool = False
+    kind: Kind, era: int, raw: object, is_deleted: bool = False
 ) -> Record | None:
     """Return the record of an object, or None if the object is ignored.
 
-    Objects without a name or revision are ignored, and so are
+    Objects without a name or a valid revision are ignored, and so are
     configuration objects other than :data:`CONFIG_NAME`.
     """
     metadata = _read_metadata(raw)
@@ -254,7 +297,11 @@
             "Ignored configuration object '%s': only 'main' is used.", name
         )
         return None
-    return Record(kind, name, revision, _encode(raw), is_deleted)
+    try:
+        position = combine_position(era, revision)
+    except ValueError:
+        return None
+    return Record(kind, name, position, _encode(raw), is_deleted)
 
 
 def _encode(raw: object) -> bytes:
--- a/tests/core/test_freshness.py
+++ b/tests/core/test_freshness.py
@@ -39,6 +39,18 @@
         proof.record_peer_proof(7, asked_at=1.0, age_s=None)
         assert proof.get_age(1.0) is None
 
+    def test_withdrawn_proof_of_a_later_revision_proves_nothing(self):
+        """Guards against a proof for a configuration that the store lost.
+
+        The store was restored; the older revision of a peer is in force.
+        """
+        proof = FreshnessProof(LIMIT_S)
+        proof.record_read(9, 1.0)
+        proof.withdraw(8)
+        assert not proof.is_fresh(1.0)
+        proof.record_peer_proof(8, asked_at=2.0, age_s=0.5)
+        assert proof.is_fresh(2.0)
+
 
 class _Instance:
     """An instance of the modelled fleet, with its own boot clock."""
--- a/tests/edge/test_copies.py
+++ b/tests/edge/test_copies.py
@@ -5,13 +5,13 @@
 import pytest
 
 from gypsummount._core.freshness import FreshnessProof
+from gypsummount._edge.change_log import MAX_RECENT_CHANGES
 from gypsummount._edge.copies import apply_copy
 from gypsummount._edge.copies import build_copy
 from gypsummount._edge.copies import Cursor
 from gypsummount._edge.copies import decode_copy
 from gypsummount._edge.copies import encode_copy
 from gypsummount._edge.copies import NO_CURSOR
-from gypsummount._edge.replica import MAX_RECENT_CHANGES
 from gypsummount._edge.replica import Replica
 from gypsummount._edge.replica import REQUIRED_KINDS
 from gypsummount._edge.store_feed import Kind
--- a/tests/edge/test_store_reader.py
+++ b/tests/edge/test_store_reader.py
@@ -1,16 +1,19 @@
-"""Reading of the store continues after unexpected errors."""
+"""Reading of the store continues after errors and restores."""
 
 from asyncio import create_task
 from asyncio import Event
+from asyncio import sleep
 from asyncio import wait_for
 from random import Random
 
 import pytest
 
 from gypsummount._core.freshness import FreshnessProof
+from gypsummount._core.positions import combine_position
 from gypsummount._edge.replica import Replica
 from gypsummount._edge.store_feed import Kind
 from gypsummount._edge.store_feed import Listing
+from gypsummount._edge.store_feed import StoreFeed
 from gypsummount._edge.store_reader import StoreReader
 from gypsummount.errors import StoreUnavailable
 
@@ -46,3 +49,94 @@
         finally:
             task.cancel()
         assert replica.is_known(Kind.UPSTREAM)
+
+
+class RestoredFeed(StoreFeed):
+    """A quiet store that is restored while its watches are open."""
+
+    def __init__(self):
+        self.current_era = 3
+        self.listed = []
+        self.watched = Event()
+
+    @property
+    def era(self):
+        return self.current_era
+
+    async def list(self, kind):
+        self.listed.append(kind)
+        return Listing((), combine_position(self.current_era, 5))
+
+    async def watch(self, kind, revision, wait_s):
+        self.watched.set()
+        await Event().wait()
+
+    async def write_rollout_state(self, order, state):
+        return
+
+    async def register(self, record):
+        return
+
+    def decode(self, record):
+        return None
+
+    async def close(self):
+        return
+
+
+class TestRestore:
+    @pytest.fixture
+    async def reading(self):
+        """Yield a feed and a reader whose watches of two kinds are open."""
+        feed = RestoredFeed()
+        replica = Replica(feed, FreshnessProof(4.0))
+        reader = StoreReader(feed, replica, Random(1))
+        tasks = [
+            create_task(reader.replicate(kind))
+            for kind in (Kind.ROLLOUT, Kind.INSTANCE)
+        ]
+        await wait_for(feed.watched.wait(), 5.0)
+        yield feed, reader
+        for task in tasks:
+            task.cancel()
+
+    async def test_open_watches_end_and_all_kinds_are_listed(self, reading):
+        """Guards against changes that wait for a quiet watch to end.
+
+        One of instances lasts 15 s.
+        """
+        feed, reader = reading
+        feed.listed.clear()
+        feed.current_era = 4
+        await reader.try_read()
+        await sleep(0.05)
+        assert set(feed.listed) == {
+            Kind.CATALOG,
+            Kind.ROLLOUT,
+            Kind.INSTANCE,
+        }
+
+    async def test_era_that_a_write_has_seen_is_noted(self, reading):
+        feed, reader = reading
+        feed.listed.clear()
+        feed.current_era = 4
+        await reader.renew_proof(0)
+        await sleep(0.05)
+        assert Kind.INSTANCE in feed.listed
+
+    async def test_same_era_costs_no_call(self, reading):
+        feed, reader = reading
+        feed.listed.clear()
+        await reader.try_read()
+        await sleep(0.05)
+        assert feed.listed == [Kind.CATALOG]
+
+    async def test_listing_of_an_earlier_era_is_not_applied(self, reading):
+        """Guards against a replica of the store that runs on an old copy.
+
+        This instance knows the new era from a peer only.
+        """
+        feed, reader = reading
+        reader.note_era(4)
+        assert not await reader.try_read()
+        assert not reader._replica.is_known(Kind.CATALOG)
--- a/tests/platform/doubles.py
+++ b/tests/platform/doubles.py
@@ -23,6 +23,8 @@
     With ``is_down``, every call is answered with status 503; calls from
     ``refused_hosts`` always are.  With ``closes_watches``, watches end with
     a closed connection instead of an answer.
+
+    ``era`` is stated in all answers unless it is None.
     """
 
     def __init__(self):
@@ -35,6 +37,26 @@
         self.refused_hosts = set()
         self.closes_watches = False
         self.calls = 0
+        self.era = None
+
+    def copy(self):
+        """Return a copy to which the store can be restored."""
+        objects = {kind: dict(found) for kind, found in self.objects.items()}
+        return self.revision, objects, list(self.events), self.discarded_until
+
+    def restore(self, copy):
+        """Return to a copy in a new era; open watches end."""
+        revision, objects, events, discarded_until = copy
+        self.revision = revision
+        self.objects = {kind: dict(found) for kind, found in objects.items()}
+        self.events = list(events)
+        self.discarded_until = discarded_until
+        self.era += 1
+        self._notify_watchers()
+
+    def has_history(self, revision):
+        """Tell whether the changes after a revision are known."""
+        return self.discarded_until <= revision <= self.revision
 
     def put(self, kind, name, specification, status=None):
         self.revision += 1
@@ -88,9 +110,12 @@
             return []
 
     async def _find_events(self, kind, revision):
+        era = self.era
         while True:
             found = self.list_events(kind, revision)
-            if found or self.closes_watches or revision < self.discarded_until:
+            if found or self.closes_watches or self.era != era:
+                return found
+            if revision < self.discarded_until:
                 return found
             await self.changed.wait()
 
@@ -113,6 +138,11 @@
             self.set_status(503)
             self.finish()
 
+    def finish(self, chunk=None):
+        if self.store.era is not None:
+            self.set_header("Store-Era", str(self.store.era))
+        return super().finish(chunk)
+
     async def get(self, kind, name=None):
         watch = self.get_argument("watch", None)
         if watch is not None:
@@ -128,7 +158,7 @@
         )
 
     async def _watch(self, kind, revision):
-        if revision < self.store.discarded_until:
+        if not self.store.has_history(revision):
             self.set_status(410)
             self.finish({})
             return
