Continue rollouts over a restore of the store

A restore loses orders or their states, which began a rollout anew or reopened a settled one. An order that is written again with the same target goes on with its evidence, veto and start time; a lost state is written again, and a settled order stays settled. tests/core/test_order_memory.py and tests/edge/test_restored_rollouts.py pass (22 tests).

--- a/src/gypsummount/_core/canaries.py
+++ b/src/gypsummount/_core/canaries.py
@@ -8,6 +8,8 @@
 runs on the old version.
 """
 
+from dataclasses import replace
+
 from gypsummount._core.canary_analysis import Baseline
 from gypsummount._core.canary_analysis import Evidence
 from gypsummount._core.canary_analysis import FleetAnalyser
@@ -26,6 +28,8 @@
 GIVE_UP_FRACTION = 0.92
 # Answers of the new version, fleet-wide, that the move requires.
 MIN_ANSWERS = 25
+# Creations of one order that count as the same, over several restores.
+MAX_CREATIONS = 4
 
 
 class _RouteCounts:
@@ -51,6 +55,8 @@
 
     __slots__ = (
         "_analyser",
+        "_attempt",
+        "_creations",
         "_new_requests",
         "_requests",
         "_routes",
@@ -66,10 +72,26 @@
         self.veto: Veto | None = None
         self.in_flight_old = 0
         self._analyser = FleetAnalyser(order.service, order.created)
+        self._attempt = order.created
+        self._creations = (order.created,)
         self._routes: dict[str, _RouteCounts] = {}
         self._requests = 0
         self._new_requests = 0
 
+    def resume(self, order: RolloutOrder) -> None:
+        """Go on with the entry of the order that is now in the store.
+
+        After a restore of the store, it may have been created anew.
+        """
+        self.order = order
+        if order.created not in self._creations:
+            creations = (*self._creations, order.created)
+            self._creations = creations[-MAX_CREATIONS:]
+
+    def is_created_at(self, created: int) -> bool:
+        """Tell whether a creation is one of this order."""
+        return created in self._creations
+
     def compute_elapsed(self, now: float) -> float:
         """Return the seconds since any instance first saw the order."""
         return max(0.0, now - self.started_at)
@@ -146,6 +168,10 @@
 
     def add_evidence(self, instance: str, evidence: Evidence) -> None:
         """Add the counts of an instance; set a veto if they show a fault."""
+        if evidence.attempt != self._attempt:
+            if not self.is_created_at(evidence.attempt):
+                return
+            evidence = replace(evidence, attempt=self._attempt)
         veto = self._analyser.observe(instance, evidence)
         if veto is not None and self.veto is None:
             self.veto = veto
--- a/src/gypsummount/_edge/rollouts.py
+++ b/src/gypsummount/_edge/rollouts.py
@@ -7,9 +7,14 @@
 from gypsummount._core.canaries import Canary
 from gypsummount._core.canary_analysis import Veto
 from gypsummount._core.catalog import RolloutOrder
+from gypsummount._core.order_memory import is_repeated
+from gypsummount._core.order_memory import OrderMemory
+from gypsummount._core.order_memory import REPEAT_S
+from gypsummount._core.positions import get_era
 from gypsummount._edge.digests import Digest
 from gypsummount._edge.digests import RolloutReport
 from gypsummount._edge.replica import Replica
+from gypsummount._edge.store_feed import Kind
 from gypsummount._edge.store_feed import StoreFeed
 from gypsummount.errors import StoreError
 
@@ -17,6 +22,8 @@
 COMPLETED = "completed"
 ROLLED_BACK = "rolled_back"
 ANY_VERSION: frozenset[str] = frozenset()
+# The first instance writes a lost state again; the others wait this long.
+REPEAT_DELAY_S = 2.0
 
 _log = get_logger("rollouts")
 
@@ -29,6 +36,13 @@
         self._replica = replica
         self._feed = feed
         self._canaries: dict[str, Canary] = {}
+        self._memory = OrderMemory()
+        # The orders by service, with the states from before a restore.
+        self._orders: dict[str, RolloutOrder] = {}
+        # Rollouts whose order is lost and may be written again.
+        self._lost: dict[str, Canary] = {}
+        # When it was found that the store lacks a state that was written.
+        self._missing_since: dict[str, float] = {}
         self._baselines: dict[str, frozenset[str]] = {}
         # Services whose baseline no order and no peer has confirmed.
         self._guessed: set[str] = set()
@@ -39,7 +53,7 @@
     def is_active(self) -> bool:
         """Tell whether any rollout is in progress."""
         self._refresh()
-        return bool(self._canaries)
+        return bool(self._canaries or self._missing_since)
 
     def get_canary(self, service: str) -> Canary | None:
         """Return a service's rollout that is in progress, or None."""
@@ -91,7 +105,7 @@
         now = read_monotonic()
         for report in digest.rollouts:
             canary = self.get_canary(report.service)
-            if canary is None or canary.order.created != report.created:
+            if canary is None or not canary.is_created_at(report.created):
                 continue
             started_at = now - report.elapsed_s
             canary.started_at = min(canary.started_at, started_at)
@@ -118,7 +132,15 @@
                 or canary.is_near_deadline(now)
                 or state == ROLLED_BACK
             ):
-                await self._write(canary, state)
+                await self._write(canary.order, state)
+        await self._repeat_states(now, is_first=is_first)
+
+    async def _repeat_states(self, now: float, *, is_first: bool) -> None:
+        """Write the states of settled orders that a restore lost."""
+        for service, since in list(self._missing_since.items()):
+            order = self._orders[service]
+            if is_first or now >= since + REPEAT_DELAY_S:
+                await self._write(order, order.state)
 
     def _apply_own_evidence(self, canary: Canary) -> None:
         had_veto = canary.veto is not None
@@ -146,8 +168,10 @@
             return ROLLED_BACK
         return RUNNING
 
-    async def _write(self, canary: Canary, state: str) -> None:
-        order = canary.order
+    async def _write(self, order: RolloutOrder, state: str) -> None:
+        if get_era(order.revision) < self._replica.era:
+            # It is lost, and no condition of an earlier era holds.
+            return
         try:
             await self._feed.write_rollout_state(order, state)
         except StoreError as error:
@@ -165,24 +189,57 @@
         if self._seen_changes == self._replica.changes:
             return
         self._seen_changes = self._replica.changes
-        orders = self._replica.rollouts
+        self._update_orders()
         for service in [
-            service for service in self._canaries if service not in orders
+            service
+            for service in self._canaries
+            if service not in self._orders
         ]:
-            del self._canaries[service]
-        for service, order in orders.items():
+            canary = self._canaries.pop(service)
+            if get_era(canary.order.created) < self._replica.era:
+                self._lost[service] = canary
+        for service, order in self._orders.items():
             self._apply_order(service, order)
         self._update_baselines()
 
+    def _update_orders(self) -> None:
+        """Take the orders from the replica, settled ones as such."""
+        now = read_monotonic()
+        since_s = now - self._replica.restores.get_began_at(Kind.ROLLOUT)
+        if since_s > REPEAT_S:
+            self._lost.clear()
+        missing_since = self._missing_since
+        self._orders = {}
+        self._missing_since = {}
+        for service, order in self._replica.rollouts.items():
+            self._orders[service] = self._memory.apply(order, since_s)
+            if self._orders[service] is not order:
+                since = missing_since.get(service)
+                if since is None:
+                    since = now
+                    _log.info(
+                        "The restored store lacks the state of %s's rollout; "
+                        "writing %s again.",
+                        service,
+                        self._orders[service].state,
+                    )
+                self._missing_since[service] = since
+
     def _apply_order(self, service: str, order: RolloutOrder) -> None:
         if order.is_settled:
             self._canaries.pop(service, None)
             return
-        known = self._canaries.get(service)
-        if known is not None and known.order.target == order.target:
-            if known.order.created == order.created:
-                known.order = order
-                return
+        known = self._canaries.get(service) or self._lost.pop(service, None)
+        if known is not None and is_repeated(order, known.order):
+            if known.order.created != order.created:
+                _log.info(
+                    "Rollout of %s to %s goes on in the restored store.",
+                    service,
+                    order.target,
+                )
+            known.resume(order)
+            self._canaries[service] = known
+            return
         self._canaries[service] = Canary(order, read_monotonic())
         _log.info(
             "Rollout of %s to %s is ordered with a duration of %.1f s.",
@@ -222,7 +279,7 @@
         orders are kept as long as they have upstreams.  A process that
         starts takes the version that started first until peers tell.
         """
-        order = self._replica.rollouts.get(service)
+        order = self._orders.get(service)
         present = frozenset(versions)
         if order is not None and order.is_settled:
             if order.state == COMPLETED:
@@ -249,7 +306,7 @@
         for report in digest.rollouts:
             if report.service != canary.order.service:
                 continue
-            if report.created != canary.order.created:
+            if not canary.is_created_at(report.created):
                 continue
             if not report.has_moved or report.old_in_flight > 0:
                 return True
