Find lost configurations and registrations after a restore

An instance that starts after a restore knows only the store's older configuration. It fetches a later one that a peer keeps, and its first proof waits for the comparison with its peers. An instance whose own registration is lost writes it again.

--- a/src/gypsummount/_edge/decisions.py
+++ b/src/gypsummount/_edge/decisions.py
@@ -4,6 +4,7 @@
 from gypsummount._common.line_limiter import LineLimiter
 from gypsummount._common.logs import get_logger
 from gypsummount._common.metrics import Metrics
+from gypsummount._core.positions import get_revision
 from gypsummount._edge.admission import RequestContext
 from gypsummount._edge.replica import Replica
 from gypsummount._edge.wire import Arrival
@@ -73,7 +74,7 @@
                 "held_ms": _to_ms(duration_s),
                 "objective_ms": _to_ms(context.need.objective_s),
                 "sends": context.sends,
-                "configuration": self._replica.catalog_revision,
+                "configuration": get_revision(self._replica.catalog_revision),
                 "left_out": limiter.dropped,
             },
         )
@@ -102,7 +103,7 @@
                 "outcome": error.outcome.value,
                 "unread_ms": _to_ms(read_delay_s),
                 "held_ms": _to_ms(duration_s),
-                "configuration": self._replica.catalog_revision,
+                "configuration": get_revision(self._replica.catalog_revision),
                 "proof_age_s": None if age_s is None else round(age_s, 2),
                 "left_out": self._refused.dropped,
             },
--- a/src/gypsummount/_edge/lag_repair.py
+++ b/src/gypsummount/_edge/lag_repair.py
@@ -9,6 +9,7 @@
 from gypsummount._edge.digests import Digest
 from gypsummount._edge.replica import Replica
 from gypsummount._edge.replica import REQUIRED_KINDS
+from gypsummount._edge.restored_catalogs import KeeperSearch
 from gypsummount._edge.settings import EdgeSettings
 from gypsummount._edge.sources import Sources
 from gypsummount._edge.store_feed import Kind
@@ -43,6 +44,7 @@
         self._store_reader = store_reader
         self._sources = sources
         self._lags: dict[Kind, Lag] = {}
+        self._keepers = KeeperSearch(replica)
         self._due_at = float("-inf")
 
     async def catch_up(self) -> None:
@@ -66,6 +68,23 @@
                 self._log_lag(kind, peer, behind_s)
                 await self._fetch_all(peer)
                 return
+        await self._compare_catalogs(now)
+
+    async def _compare_catalogs(self, now: float) -> None:
+        """Fetch a configuration that the store has lost from a peer."""
+        is_reading = self._store_reader.is_reading
+        keeper = self._keepers.find(
+            self._sources.live, now, is_reading=is_reading
+        )
+        if keeper is not None:
+            _log.info(
+                "Peer %s has a configuration that the store may have lost; "
+                "fetching its records.",
+                keeper.name,
+            )
+            await self._fetch_all(keeper)
+        if self._sources.live and not self._keepers.is_pending:
+            self._store_reader.has_compared_peers = True
 
     def _get_known_revision(self, kind: Kind) -> int:
         if not self._replica.is_known(kind):
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -1,6 +1,5 @@
 """The edge process: construction, periodic tasks, start and shutdown."""
 
-from asyncio import sleep
 from contextlib import AsyncExitStack
 from dataclasses import replace
 from random import Random
@@ -36,6 +35,7 @@
 from gypsummount._edge.probing import Prober
 from gypsummount._edge.proxy import Proxy
 from gypsummount._edge.record_server import RecordServer
+from gypsummount._edge.registration import Registration
 from gypsummount._edge.replica import Replica
 from gypsummount._edge.retry_budgets import RetryBudgets
 from gypsummount._edge.rollouts import Rollouts
@@ -54,14 +54,12 @@
 from gypsummount._edge.token_messages import REQUEST_MARK
 from gypsummount._edge.tokens import Tokens
 from gypsummount._edge.wire import Wire
-from gypsummount.errors import StoreError
 
 REFRESH_INTERVAL_S = 0.1
 ROLLOUT_INTERVAL_S = 0.3
 PROOF_INTERVAL_S = 0.2
 # A freshness proof older than this (s) suggests that no updates arrive.
 ISOLATION_PROOF_AGE_S = 2.0
-REGISTER_RETRY_S = 1.0
 INITIAL_RATE_SHARE = 0.1
 MS_PER_S = 1000
 
@@ -109,6 +107,12 @@
         self._retry_budgets = RetryBudgets()
         self._rollouts = Rollouts(settings.instance, self.replica, feed)
         self._store_reader = StoreReader(feed, self.replica, random)
+        self._registration = Registration(
+            feed,
+            self.replica,
+            InstanceRecord(settings.instance, settings.host),
+            random,
+        )
         self._records = RecordServer(self.replica, self._incarnation)
         self._sources = Sources(settings)
         self._follower = Follower(
@@ -255,7 +259,7 @@
         )
         for step, period_s, name in steps:
             start_task(stack, run_periodically(step, period_s, name), name)
-        start_task(stack, self._register(), "register")
+        start_task(stack, self._registration.run(), "register")
         start_task(stack, self.front.watch_disconnects(), "callers")
 
     async def _send_digests(self) -> None:
@@ -328,17 +332,6 @@
         name = self._settings.instance
         return sum(1 for digest in live if digest.name < name)
 
-    async def _register(self) -> None:
-        """Register this instance in the store."""
-        record = InstanceRecord(self._settings.instance, self._settings.host)
-        while True:
-            try:
-                await self._feed.register(record)
-                return
-            except StoreError as error:
-                _log.warning("Not registered yet; retrying: %s", error)
-                await sleep(REGISTER_RETRY_S)
-
     def _build_digest(self, known: tuple[KnownPeer, ...]) -> Digest:
         settings = self._settings
         now = read_monotonic()
--- a/src/gypsummount/_edge/status.py
+++ b/src/gypsummount/_edge/status.py
@@ -5,6 +5,7 @@
 from gypsummount._common.logs import get_logger
 from gypsummount._common.loop_timer import LoopTimer
 from gypsummount._common.metrics import Metrics
+from gypsummount._core.positions import get_revision
 from gypsummount._edge.exposition import write_exposition
 from gypsummount._edge.front import EdgeFront
 from gypsummount._edge.gossip import Gossip
@@ -61,9 +62,18 @@
             "round_seconds": self._loop_timer.span_s,
             "peers_live": float(len(self._peers.list_live(now))),
             "store_connected": float(self._store_reader.contact.is_connected),
-            "configuration_revision": float(replica.catalog_revision),
+            "configuration_revision": float(
+                get_revision(replica.catalog_revision)
+            ),
             "proof_age_seconds": -1.0 if age_s is None else age_s,
             "configuration_unreadable": float(not replica.has_newest_catalog),
+            "configuration_withheld": float(replica.is_catalog_withheld),
+            "store_era": float(replica.era),
+            "store_restores": float(replica.restores.count),
+            "restore_records_kept": float(replica.restores.count_kept()),
+            "restore_records_ignored": float(
+                replica.restores.count_withheld()
+            ),
             "upstreams_known": float(len(replica.upstreams)),
             "fleet_grouped": float(self._peers.is_grouped),
             "is_relay": float(self._gossip.is_relay),
--- a/src/gypsummount/_edge/store_reader.py
+++ b/src/gypsummount/_edge/store_reader.py
@@ -40,6 +40,9 @@
 PROOF_STAGGER_S = 0.15
 # While the store lacks the configuration in force, no read renews the proof.
 WITHHELD_READ_INTERVAL_S = 1.0
+# A process that starts reads a store with eras for this long before a read
+# proves anything: peers may hold a configuration that a restore lost.
+START_PROOF_WAIT_S = 1.5
 IDLE_CHECK_S = 0.05
 FAILURES_UNTIL_LOST = 3
 
@@ -112,6 +115,9 @@
         self._open_watches: dict[Kind, Timeout] = {}
         self._era = 0
         self._read_due_at = float("-inf")
+        self._created_at = read_monotonic()
+        # Whether peers were asked for a configuration that a restore lost.
+        self.has_compared_peers = False
 
     def get_contact(self) -> Contact:
         """Return the contact with the store that digests announce."""
@@ -236,9 +242,15 @@
         self._replica.apply_listing(kind, listing, read_monotonic())
         self._confirmed.add(kind)
         if kind is Kind.CATALOG and self._replica.has_newest_catalog:
-            self._replica.proof.record_read(
-                self._replica.catalog_revision, started_at
-            )
+            self._record_proof(listing, started_at)
+
+    def _record_proof(self, listing: Listing, started_at: float) -> None:
+        if get_era(listing.revision) and not self.has_compared_peers:
+            if started_at < self._created_at + START_PROOF_WAIT_S:
+                return
+        self._replica.proof.record_read(
+            self._replica.catalog_revision, started_at
+        )
 
     async def _watch(self, kind: Kind) -> None:
         confirm_at = read_monotonic() + CONFIRM_AFTER_S
