Restore the store in the model's seeded faults

The model's store can return to a copy some seconds old in a new era, and its operator and upstreams repeat lost writes later.

--- a/tests/model/faults.py
+++ b/tests/model/faults.py
@@ -22,19 +22,44 @@
         self._timeouts = timeouts
         self._checker = checker
         self._version = 0
+        self._is_repeating = False
 
     def change_config(self):
-        if self._fleet.store.is_down:
+        if self._fleet.store.is_down or self._is_repeating:
             return
         self._version += 1
         now = read_monotonic()
-        timeout_s = self._timeouts[self._version % len(self._timeouts)]
-        body = build_config(self._version, timeout_s)
-        self._fleet.store.put(Kind.CATALOG, "main", body)
+        self._put_config()
         self._checker.versions.append(
             AcknowledgedChange(str(self._version), now)
         )
 
+    def _put_config(self):
+        timeout_s = self._timeouts[self._version % len(self._timeouts)]
+        body = build_config(self._version, timeout_s)
+        self._fleet.store.put(Kind.CATALOG, "main", body)
+
+    async def restore_store(self, age_s, outage_s, repeat_s):
+        """Restore the store; ``repeat_s`` later, repeat all that is lost."""
+        store = self._fleet.store
+        self._is_repeating = True
+        store.is_refusing = True
+        await sleep(outage_s)
+        store.restore(age_s)
+        store.is_refusing = False
+        for upstream in self._fleet.upstreams.values():
+            upstream.forget_written()
+        await sleep(repeat_s)
+        while store.is_down:
+            await sleep(0.1)
+        self._put_config()
+        wanted = {change.name for change in self._checker.evacuated}
+        for domain in wanted - store.objects[Kind.EVACUATION].keys():
+            store.put(Kind.EVACUATION, domain, {})
+        for domain in store.objects[Kind.EVACUATION].keys() - wanted:
+            store.delete(Kind.EVACUATION, domain)
+        self._is_repeating = False
+
     async def stream_config_changes(self):
         for _ in range(CONFIG_STREAM_STEPS):
             self.change_config()
@@ -57,11 +82,13 @@
         store = self._fleet.store
         if store.is_down or domain in store.objects[Kind.EVACUATION]:
             return
+        if self._is_repeating:
+            return
         store.put(Kind.EVACUATION, domain, {})
         change = AcknowledgedChange(domain, read_monotonic())
         self._checker.evacuated.append(change)
         await sleep(duration_s)
-        while store.is_down:
+        while store.is_down or self._is_repeating:
             await sleep(0.1)
         store.delete(Kind.EVACUATION, domain)
         self._checker.evacuated.remove(change)
@@ -231,6 +258,14 @@
         await sleep(self._random.uniform(1.0, 6.0))
         setattr(self._fleet.store, name, False)
 
+    async def restore_store(self):
+        """Restore the store from a copy some seconds old."""
+        await self._operator.restore_store(
+            self._random.uniform(0.5, 4.0),
+            self._random.uniform(0.1, 1.5),
+            self._random.uniform(0.2, 1.0),
+        )
+
     async def _compact_store(self):
         self._fleet.store.mute_until = read_monotonic() + 1.0
         await sleep(1.0)
--- a/tests/model/invariants.py
+++ b/tests/model/invariants.py
@@ -36,8 +36,10 @@
 class InvariantChecker:
     """Checks every instance at regular intervals.
 
-    The rule "keys" has to hold at all times.  The other rules are checked
-    only if neither the store nor the instance had a fault within the last
+    The rules "keys", "rollback" and "kept" have to hold at all times: a
+    configuration does not go back, and an evacuation that is in force stays
+    until the operator ends it.  The other rules are checked only if neither
+    the store nor the instance had a fault within the last
     :data:`STABILITY_S` seconds.
     """
 
@@ -46,6 +48,7 @@
     versions: list = field(default_factory=list)
     evacuated: list = field(default_factory=list)
     drained: list = field(default_factory=list)
+    in_force: dict = field(default_factory=dict)
     violations: dict = field(default_factory=dict)
 
     async def run(self):
@@ -65,6 +68,7 @@
             if current.process is None or not current.process.replica.is_ready:
                 continue
             self._check_keys(instance, now)
+            self._check_kept(instance, now)
             if self._is_stable(instance, now):
                 self._check_convergence(instance, now)
 
@@ -94,6 +98,22 @@
         if replica.catalog.version < required and replica.proof.is_fresh(now):
             self._record_violation("keys", instance, str(required), now)
 
+    def _check_kept(self, instance, now):
+        """Compare with what was in force in this run of the program."""
+        replica = instance.process.replica
+        wanted = {change.name for change in self.evacuated}
+        version, evacuated = self.in_force.get(
+            id(instance.current), (0, frozenset())
+        )
+        if replica.catalog.version < version:
+            self._record_violation("rollback", instance, str(version), now)
+        for domain in evacuated & wanted - replica.evacuated:
+            self._record_violation("kept", instance, domain, now)
+        self.in_force[id(instance.current)] = (
+            replica.catalog.version,
+            replica.evacuated & wanted,
+        )
+
     def _check_convergence(self, instance, now):
         replica = instance.process.replica
         required = self._get_required_version(now - CONFIG_APPLY_S)
--- a/tests/model/store.py
+++ b/tests/model/store.py
@@ -6,8 +6,12 @@
 from asyncio import wait_for
 from collections import defaultdict
 from dataclasses import dataclass
+from dataclasses import replace
 from json import dumps
 
+from gypsummount._core.positions import combine_position
+from gypsummount._core.positions import get_era
+from gypsummount._core.positions import get_revision
 from gypsummount._edge.store_feed import Kind
 from gypsummount._edge.store_feed import Listing
 from gypsummount._edge.store_feed import Origin
@@ -24,10 +28,11 @@
 
 @dataclass(slots=True)
 class StoreEvent:
-    """One change of an object."""
+    """One change of an object, and when it was made."""
 
     revision: int
     record: Record
+    at: float
 
 
 class ModelStore:
@@ -48,6 +53,29 @@
         self.is_refusing = False
         self.mute_until = 0.0
         self.calls = 0
+        self.era = 0
+        self._history = []
+
+    def restore(self, age_s):
+        """Return to a copy that is ``age_s`` seconds old, in a new era."""
+        copied_at = get_running_loop().time() - age_s
+        self._history = [
+            event for event in self._history if event.at <= copied_at
+        ]
+        self.objects.clear()
+        for event in self._history:
+            record = event.record
+            if record.is_deleted:
+                del self.objects[record.kind][record.name]
+            else:
+                self.objects[record.kind][record.name] = record
+        self.revision = self._history[-1].revision
+        self.events = [
+            event for event in self.events if event.revision <= self.revision
+        ]
+        self.compacted = min(self.compacted, self.revision)
+        self.era += 1
+        self._notify_watches()
 
     @property
     def is_down(self):
@@ -92,7 +120,10 @@
         )
 
     def _append_event(self, record):
-        self.events.append(StoreEvent(record.revision, record))
+        now = get_running_loop().time()
+        event = StoreEvent(record.revision, record, now)
+        self.events.append(event)
+        self._history.append(event)
         self._notify_watches()
 
     def _notify_watches(self):
@@ -164,23 +195,38 @@
         started_at = get_running_loop().time()
         await self._deliver_request()
         objects = tuple(self._store.objects[kind].values())
-        listing = Listing(objects, self._store.revision)
+        listing = self._build_listing(objects, self._store.revision)
         await self._deliver_answer(started_at)
         return listing
 
     async def _watch(self, kind, revision, wait_s):
         started_at = get_running_loop().time()
         await self._deliver_request()
-        if revision < self._store.compacted:
+        era = get_era(revision)
+        revision = get_revision(revision)
+        if not self._store.compacted <= revision <= self._store.revision:
             raise HistoryDiscarded("the history is gone")
         events = await self._wait_events(kind, revision, started_at + wait_s)
+        if self._store.era != era:
+            raise HistoryDiscarded("the store was restored")
         listed_revision = self._store.revision
         if get_running_loop().time() < self._store.mute_until:
             listed_revision = revision
         await self._deliver_answer(started_at)
-        return Listing(events, listed_revision, Origin.WATCH)
+        return self._build_listing(events, listed_revision, Origin.WATCH)
+
+    def _build_listing(self, records, revision, origin=Origin.LIST):
+        """Return a listing with positions in the store's era."""
+        era = self._store.era
+        found = [
+            replace(record, revision=combine_position(era, record.revision))
+            for record in records
+        ]
+        position = combine_position(era, revision)
+        return Listing(tuple(found), position, origin)
 
     async def _wait_events(self, kind, revision, ends_at):
+        era = self._store.era
         while True:
             events = self._store.list_events(kind, revision)
             remaining_s = ends_at - get_running_loop().time()
@@ -190,5 +236,5 @@
                 await wait_for(self._store.changed.wait(), remaining_s)
             except TimeoutError:
                 return ()
-            if revision < self._store.compacted:
+            if self._store.era != era or revision < self._store.compacted:
                 raise HistoryDiscarded("the history is gone")
--- a/tests/model/upstreams.py
+++ b/tests/model/upstreams.py
@@ -98,6 +98,10 @@
         self.state = "draining"
         self._sequence += 1
 
+    def forget_written(self):
+        """Write the registration again, as the store may have lost it."""
+        self._written_registration = None
+
     def start_cold_period(self):
         self.cold_until = get_running_loop().time() + COLD_PERIOD_S
 
