--- a/tests/platform/stop_trials.py
+++ b/tests/platform/stop_trials.py
@@ -2,6 +2,7 @@
 
 from asyncio import create_task
 from asyncio import gather
+from asyncio import get_running_loop
 from asyncio import sleep
 from random import Random
 from signal import SIGHUP
@@ -26,6 +27,8 @@
 GRACE_S = 6.0
 # Time under load before the stop (s).
 LEAD_S = 0.5
+# Time from a restore of the store until lost writes are repeated (s).
+REPEAT_S = 1.0
 
 
 class StopTrial:
@@ -36,16 +39,13 @@
         self.random = Random(seed)
         self.callers = []
         self.process = instance.processes[1]
+        self.copy = instance.store.copy()
 
     async def prepare(self):
         instance = self.instance
         for server in instance.servers.values():
             server.max_delay_s = LONGEST_RUN_S
-        for name in instance.servers:
-            stored = instance.store.objects["servers"][name]["specification"]
-            server = build_server(stored["address"], slots=100)
-            instance.store.put("servers", name, server)
-        instance.store.put("config", "main", build_config(4, [KEY], TIMEOUT_S))
+        self._write_records()
         await sleep(COLD_S)
         address = ("127.0.0.2", instance.ports.front)
         for number in range(CALLERS):
@@ -60,6 +60,14 @@
             await caller.connect(CONNECTIONS)
             self.callers.append(caller)
 
+    def _write_records(self):
+        store = self.instance.store
+        for name in self.instance.servers:
+            stored = store.objects["servers"][name]["specification"]
+            server = build_server(stored["address"], slots=100)
+            store.put("servers", name, server)
+        store.put("config", "main", build_config(4, [KEY], TIMEOUT_S))
+
     async def run(self, disturbances=()):
         """Stop the instance under load; return the time until it ended.
 
@@ -96,6 +104,11 @@
     def lose_store(self):
         self.instance.store.is_down = True
 
+    def restore_store(self):
+        """Restore the copy from before the trial's own writes."""
+        self.instance.store.restore(self.copy)
+        get_running_loop().call_later(REPEAT_S, self._write_records)
+
     def fill_server(self):
         self._choose_server().behaviour = "full"
 
--- a/tests/platform/test_stop_soak.py
+++ b/tests/platform/test_stop_soak.py
@@ -23,6 +23,15 @@
 )
 
 
+@pytest.fixture
+async def restorable(deployment):
+    """Start an instance whose store states its era."""
+    deployment.store.era = 1
+    deployment.start(1)
+    await deployment.wait_ready(1)
+    return deployment
+
+
 async def run_trial(instance, seed, disturbances=()):
     """Check that no request was lost; return all statuses."""
     trial = StopTrial(instance, seed)
@@ -50,3 +59,13 @@
         count = random.randint(1, len(DISTURBANCES))
         chosen = random.sample(DISTURBANCES, count)
         assert 503 in await run_trial(instance, seed, chosen)
+
+
+class TestRestoredStores:
+    @pytest.mark.parametrize("seed", range(SEEDS))
+    async def test_no_request_that_runs_is_cut(self, restorable, seed):
+        """Guards against cuts when the store loses writes during a stop."""
+        random = Random(seed)
+        chosen = [StopTrial.restore_store, random.choice(DISTURBANCES)]
+        assert 503 in await run_trial(restorable, seed, chosen)
+        assert restorable.store.era == 2
