--- a/tests/edge/test_store_reader.py
+++ b/tests/edge/test_store_reader.py
@@ -8,11 +8,16 @@
 
 import pytest
 
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._core.catalog import CallerLimits
+from gypsummount._core.catalog import Catalog
 from gypsummount._core.freshness import FreshnessProof
 from gypsummount._core.positions import combine_position
+from gypsummount._edge import store_reader
 from gypsummount._edge.replica import Replica
 from gypsummount._edge.store_feed import Kind
 from gypsummount._edge.store_feed import Listing
+from gypsummount._edge.store_feed import Record
 from gypsummount._edge.store_feed import StoreFeed
 from gypsummount._edge.store_reader import StoreReader
 from gypsummount.errors import StoreUnavailable
@@ -84,6 +89,18 @@
         return
 
 
+class CatalogFeed(RestoredFeed):
+    """A store that has a configuration."""
+
+    async def list(self, kind):
+        position = combine_position(self.current_era, 5)
+        record = Record(kind, "main", position, b"")
+        return Listing((record,), position)
+
+    def decode(self, record):
+        return Catalog(7, CallerLimits(15.0, 1000))
+
+
 class TestRestore:
     @pytest.fixture
     async def reading(self):
@@ -140,3 +157,33 @@
         reader.note_era(4)
         assert not await reader.try_read()
         assert not reader._replica.is_known(Kind.CATALOG)
+
+
+class TestFirstProof:
+    """A process that starts may know only the copy of a restored store."""
+
+    @pytest.fixture
+    def reader(self):
+        feed = CatalogFeed()
+        return StoreReader(feed, Replica(feed, FreshnessProof(4.0)), Random(1))
+
+    async def test_first_proof_waits_for_the_peers(self, reader):
+        """Guards against keys that only the store's old copy still has."""
+        proof = reader._replica.proof
+        await reader.try_read()
+        assert not proof.is_fresh(read_monotonic())
+        reader.has_compared_peers = True
+        await reader.try_read()
+        assert proof.is_fresh(read_monotonic())
+
+    async def test_instance_without_peers_proves_after_a_while(
+        self, reader, monkeypatch
+    ):
+        monkeypatch.setattr(store_reader, "START_PROOF_WAIT_S", 0.0)
+        await reader.try_read()
+        assert reader._replica.proof.is_fresh(read_monotonic())
+
+    async def test_store_without_eras_proves_at_once(self, reader):
+        reader._feed.current_era = 0
+        await reader.try_read()
+        assert reader._replica.proof.is_fresh(read_monotonic())
