Compare with peers that do not know the restore yet

A process that starts while its peers still read the earlier era found no peer with a later configuration and proved the older one at once.

--- a/src/gypsummount/_edge/restored_catalogs.py
+++ b/src/gypsummount/_edge/restored_catalogs.py
@@ -21,7 +21,8 @@
     def __init__(self, replica: Replica) -> None:
         self._replica = replica
         self._seen_at: float | None = None
-        # Whether a peer may keep a configuration that is unknown here.
+        # Whether a peer may keep a configuration that is unknown here.  One
+        # that does not know the new era yet has not compared it either.
         self.is_pending = False
         self._due_at = float("-inf")
 
@@ -37,7 +38,7 @@
             key=lambda peer: peer.catalog_revision,
             default=None,
         )
-        self.is_pending = keeper is not None
+        self.is_pending = any(_is_earlier(peer, era) for peer in live)
         if keeper is None:
             self._seen_at = None
             return None
@@ -53,11 +54,14 @@
         """Tell whether a peer keeps a configuration that is unknown here."""
         if get_era(peer.revisions.get(Kind.CATALOG.value, 0)) < era:
             return False
-        if peer.catalog_revision == 0 or (
-            get_era(peer.catalog_revision) >= era
-        ):
+        if not _is_earlier(peer, era):
             return False
         return (
             not self._replica.is_catalog_withheld
             or peer.catalog_revision > self._replica.catalog_revision
         )
+
+
+def _is_earlier(peer: Digest, era: int) -> bool:
+    """Tell whether a peer has a configuration of an earlier era in force."""
+    return 0 != peer.catalog_revision and get_era(peer.catalog_revision) < era
--- a/tests/edge/test_restored_catalogs.py
+++ b/tests/edge/test_restored_catalogs.py
@@ -71,6 +71,13 @@
     def test_other_peers_are_not_asked(self, replica, peer):
         search = KeeperSearch(replica)
         assert search.find([peer], NOW, is_reading=True) is None
+
+    def test_peer_that_is_behind_may_still_keep_a_later_one(self, replica):
+        """Guards against a first proof before the peers know the restore."""
+        search = KeeperSearch(replica)
+        search.find([build_peer(LOST, LOST)], NOW, is_reading=True)
+        assert search.is_pending
+        search.find([build_peer(COPIED, COPIED)], NOW, is_reading=True)
         assert not search.is_pending
 
     def test_keeper_asks_only_peers_with_a_later_one(self, replica):
--- a/tests/edge/test_store_reader.py
+++ b/tests/edge/test_store_reader.py
@@ -148,15 +148,19 @@
         await sleep(0.05)
         assert feed.listed == [Kind.CATALOG]
 
-    async def test_listing_of_an_earlier_era_is_not_applied(self, reading):
+
+class TestOutdatedListings:
+    async def test_listing_of_an_earlier_era_is_not_applied(self):
         """Guards against a replica of the store that runs on an old copy.
 
         This instance knows the new era from a peer only.
         """
-        feed, reader = reading
+        feed = RestoredFeed()
+        replica = Replica(feed, FreshnessProof(4.0))
+        reader = StoreReader(feed, replica, Random(1))
         reader.note_era(4)
         assert not await reader.try_read()
-        assert not reader._replica.is_known(Kind.CATALOG)
+        assert not replica.is_known(Kind.CATALOG)
 
 
 class TestFirstProof:
