Declare the interfaces of duty leases

Other parts build on the lease, the duty feed and the settings, so their signatures come first. Nothing uses them yet; no behaviour changes.

--- a/src/gypsummount/_edge/settings.py
+++ b/src/gypsummount/_edge/settings.py
@@ -39,6 +39,30 @@
         return self.revoke_s - PROOF_MARGIN_S
 
 
+@dataclass(slots=True, frozen=True)
+class DutySettings:
+    """Duties that one instance of the fleet holds at a time.
+
+    ``address`` is the ``host:port`` of the endpoint, which takes
+    ``calls_per_s`` calls a second from all instances together.  A lease
+    lasts ``lease_s``.  A call that leaves the process up to ``thaw_s`` after
+    the end of a freeze is tolerated.  Usage is reported by windows of
+    ``report_window_s``, at most ``usage_delay_s`` after the end of the
+    window and within ``usage_off`` (a fraction) of the true value.
+    """
+
+    address: str
+    duties: tuple[str, ...]
+    calls_per_s: float = 50.0
+    requests_per_s: float = 50.0
+    requires_fencing: bool = True
+    lease_s: float = 3.0
+    thaw_s: float = 0.3
+    report_window_s: float = 5.0
+    usage_off: float = 0.05
+    usage_delay_s: float = 10.0
+
+
 @dataclass(slots=True, frozen=True)
 class EdgeSettings:
     """Identity, location, addresses and limits of an edge process.
@@ -47,7 +71,7 @@
     IPs of instances to contact first.  ``descriptors`` is the number of
     file descriptors that the process may open, ``capacity`` its share of
     the processor (cores), and ``memory_bytes`` the memory that it may use,
-    0 without a limit.
+    0 without a limit.  ``duties`` is None where no duty is configured.
     """
 
     instance: str
@@ -65,6 +89,7 @@
     descriptors: int = DEFAULT_DESCRIPTORS
     capacity: float = 0.0
     memory_bytes: int = 0
+    duties: DutySettings | None = None
 
     @property
     def max_connections(self) -> int:
--- a/src/gypsummount/_edge/store_feed.py
+++ b/src/gypsummount/_edge/store_feed.py
@@ -8,6 +8,10 @@
 from gypsummount._core.catalog import Catalog
 from gypsummount._core.catalog import RolloutOrder
 from gypsummount._core.catalog import UpstreamRecord
+from gypsummount._core.duty_leases import LeaseRecord
+from gypsummount.errors import StoreUnavailable
+
+NO_LEASES = "this store keeps no leases; configure no duties"
 
 
 class Kind(Enum):
@@ -63,6 +67,14 @@
     origin: Origin = Origin.LIST
 
 
+@dataclass(slots=True, frozen=True)
+class LeaseReading:
+    """The answer to a read of a lease; without a record there is none."""
+
+    record: LeaseRecord | None
+    era: int = 0
+
+
 class StoreFeed(ABC):
     """Reads, watches and writes the store.
 
@@ -97,6 +109,23 @@
     async def register(self, record: InstanceRecord) -> None:
         """Create or replace the record of an instance."""
 
+    async def read_lease(self, duty: str) -> LeaseReading:
+        """Return the lease record of a duty, by a linearizable read.
+
+        :raises RecordInvalid: when the record cannot be decoded.
+        """
+        raise StoreUnavailable(NO_LEASES)
+
+    async def write_lease(self, record: LeaseRecord) -> LeaseRecord:
+        """Write a lease record; return it with its new revision.
+
+        A record with revision 0 is created; any other replaces the one with
+        that revision.
+
+        :raises StoreConflict: when the record exists or has been changed.
+        """
+        raise StoreUnavailable(NO_LEASES)
+
     @abstractmethod
     def decode(self, record: Record) -> Value:
         """Return the decoded value of a record.
