--- a/src/gypsummount/_edge/store_feed.py
+++ b/src/gypsummount/_edge/store_feed.py
@@ -8,7 +8,7 @@
 from gypsummount._core.catalog import Catalog
 from gypsummount._core.catalog import RolloutOrder
 from gypsummount._core.catalog import UpstreamRecord
-from gypsummount._core.duty_leases import LeaseRecord
+from gypsummount._core.lease_records import LeaseRecord
 from gypsummount.errors import StoreUnavailable
 
 NO_LEASES = "this store keeps no leases; configure no duties"
