Run duty leases in the edge process

The task of a duty holds or seeks its lease, announces its token in the digest, hands over at a planned stop and checks the lease immediately before each call to the endpoint. The store adapter keeps one object of kind leases for each duty. Without configured duties there is no task and no call, and digests have the same bytes as before.

--- a/src/gypsummount/_core/duty_ranks.py
+++ b/src/gypsummount/_core/duty_ranks.py
@@ -29,22 +29,19 @@
     They come from other regions than the holder's and than each other's
     while there are such, so that the loss of a region leaves a candidate.
     """
-    ranked = sorted(
-        (member for member in members if member.name != holder),
-        key=lambda member: (
-            not member.is_connected,
-            -member.capacity,
-            member.name,
-        ),
-    )
+    remaining = [member for member in members if member.name != holder]
     chosen: list[DutyMember] = []
     used = {holder_region}
-    while ranked and len(chosen) < CANDIDATE_COUNT:
-        member = next(
-            (member for member in ranked if member.region not in used),
-            ranked[0],
-        )
-        chosen.append(member)
-        used.add(member.region)
-        ranked.remove(member)
+    while remaining and len(chosen) < CANDIDATE_COUNT:
+        preferred = [
+            member for member in remaining if member.region not in used
+        ]
+        best = min(preferred or remaining, key=_build_key)
+        chosen.append(best)
+        used.add(best.region)
+        remaining.remove(best)
     return tuple(chosen)
+
+
+def _build_key(member: DutyMember) -> tuple[bool, float, str]:
+    return (not member.is_connected, -member.capacity, member.name)
--- a/src/gypsummount/_edge/digests.py
+++ b/src/gypsummount/_edge/digests.py
@@ -14,6 +14,7 @@
 from gypsummount._common.compression import decompress_bounded
 from gypsummount._common.decoding import DECODING_ERRORS
 from gypsummount._core.canary_analysis import Evidence
+from gypsummount._core.lease_records import MAX_TOKEN
 from gypsummount._core.quotas import QuotaDemand
 from gypsummount._core.upstream_load import LoadObservation
 from gypsummount.errors import RecordInvalid
@@ -77,7 +78,9 @@
     reaches the store.  ``capacity`` is its share of a processor (cores),
     and ``loads`` are those of upstreams that it saw recently.
     ``old_versions`` are those that serve outside a rollout, by service,
-    where upstreams of others exist as well.
+    where upstreams of others exist as well.  ``duties`` are the fencing
+    tokens of the duties that the sender holds; the encoded digest has no
+    such field while it holds none.
     """
 
     name: str
@@ -100,6 +103,7 @@
     capacity: float = 0.0
     loads: dict[str, LoadObservation] = field(default_factory=dict)
     old_versions: dict[str, frozenset[str]] = field(default_factory=dict)
+    duties: dict[str, int] = field(default_factory=dict)
 
 
 def encode_body(digest: Digest) -> bytes:
@@ -147,6 +151,8 @@
             service: sorted(versions)
             for service, versions in digest.old_versions.items()
         }
+    if digest.duties:
+        raw["duties"] = digest.duties
     return raw
 
 
@@ -193,11 +199,23 @@
         service: frozenset(str(version) for version in versions)
         for service, versions in raw.get("old_versions", {}).items()
     }
+    raw["duties"] = {
+        duty: _read_token(token)
+        for duty, token in raw.get("duties", {}).items()
+    }
     digest = Digest(echo=echo, **raw)
     _check_identity(digest)
     return digest
 
 
+def _read_token(token: object) -> int:
+    if isinstance(token, bool) or not isinstance(token, int):
+        raise ValueError("a fencing token is no number")
+    if not 0 < token <= MAX_TOKEN:
+        raise ValueError("a fencing token is out of range")
+    return token
+
+
 def _check_identity(digest: Digest) -> None:
     """Check what a digest says about who sends it and whom it knows.
 
--- a/src/gypsummount/_edge/duty_feed.py
+++ b/src/gypsummount/_edge/duty_feed.py
@@ -6,6 +6,9 @@
 from dataclasses import dataclass
 from enum import Enum
 
+# Tells immediately before a send whether the lease is still held.
+SendCheck = Callable[[], bool]
+
 
 class DutyOutcome(Enum):
     """What is known of a duty call once it has ended."""
@@ -49,7 +52,7 @@
         token: int,
         body: bytes,
         *,
-        may_send: Callable[[], bool],
+        may_send: SendCheck,
     ) -> DutyResult:
         """Make one call of a duty as its holder.
 
--- a/src/gypsummount/_edge/exposition.py
+++ b/src/gypsummount/_edge/exposition.py
@@ -6,17 +6,21 @@
 
 
 def write_exposition(
-    metrics: Metrics, gauges: dict[str, float], now: float
+    metrics: Metrics, gauges: dict[str, float | int], now: float
 ) -> str:
     """Return counters, gauges and latency quantiles, one per line.
 
-    Latencies are in milliseconds, labelled by workspace and route.
+    Latencies are in milliseconds, labelled by workspace and route.  Gauges
+    that are integers are written with all digits.
     """
     lines = [
         f"{PREFIX}_{_format_name(name)}_total {count}"
         for name, count in sorted(metrics.read_counts().items())
     ]
-    lines += [f"{PREFIX}_{name} {value:g}" for name, value in gauges.items()]
+    lines += [
+        f"{PREFIX}_{name} {_format_value(value)}"
+        for name, value in gauges.items()
+    ]
     for summary in metrics.summarise(now):
         labels = f'workspace="{summary.workspace}",route="{summary.route}"'
         for quantile, value in (
@@ -33,3 +37,7 @@
 
 def _format_name(name: str) -> str:
     return name.replace(".", "_").replace("-", "_")
+
+
+def _format_value(value: float | int) -> str:
+    return str(value) if isinstance(value, int) else f"{value:g}"
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -26,6 +26,8 @@
 from gypsummount._edge.digests import NO_ECHO
 from gypsummount._edge.digests import SERVING
 from gypsummount._edge.digests import STARTING
+from gypsummount._edge.duties import Duties
+from gypsummount._edge.duty_feed import DutyFeed
 from gypsummount._edge.fleet_state import FleetState
 from gypsummount._edge.follower import Follower
 from gypsummount._edge.front import EdgeFront
@@ -77,6 +79,7 @@
         feed: StoreFeed,
         wire: Wire,
         loop_timer: LoopTimer | None = None,
+        duty_feed: DutyFeed | None = None,
     ) -> None:
         self._loop_timer = loop_timer or LoopTimer()
         self._settings = settings
@@ -157,6 +160,9 @@
             settings.max_connections,
             self._bodies,
         )
+        self.duties = Duties(
+            settings, self._incarnation, feed, duty_feed, self.metrics
+        )
         self._status = EdgeStatus(
             self.metrics,
             self._loop_timer,
@@ -167,6 +173,7 @@
             self._gossip,
             self._tokens,
             self._bodies,
+            self.duties,
         )
 
     @property
@@ -197,6 +204,7 @@
         _log.info("Stopping.")
         self._shutdown.request(self._settings.bounds)
         self.front.is_closing = True
+        self.duties.stop()
         self._gossip.send_to_all()
 
     def list_advertised(self) -> list[Digest]:
@@ -224,6 +232,7 @@
     async def _open(self, stack: AsyncExitStack) -> None:
         settings = self._settings
         stack.push_async_callback(self._feed.close)
+        stack.push_async_callback(self.duties.close)
         stack.callback(self._selection.close)
         await self._gossip.open()
         stack.callback(self._gossip.close)
@@ -244,6 +253,7 @@
                 f"mirror.{kind.value}",
             )
         start_task(stack, self._follower.run(), "following")
+        self.duties.start(stack)
         start_task(stack, self._prober.run(), "probing")
         steps = (
             (self._send_digests, GOSSIP_INTERVAL_S, "gossip"),
@@ -283,6 +293,8 @@
             self._gossip.add_host(instance.name, instance.host)
         self._fleet_state.update_selection(self._selection, self._live, now)
         self._fleet_state.update_sizes(self._retry_budgets, self._prober)
+        contact = self._store_reader.get_contact()
+        self.duties.update(self._live, self.phase, contact, now)
         self._sources.set_live_peers(
             self._live, is_grouped=self.peers.is_grouped
         )
@@ -363,6 +375,7 @@
             settings.capacity,
             self._selection.list_loads() if self.peers.is_grouped else {},
             self._rollouts.list_old_versions(),
+            self.duties.list_held(),
         )
 
     def _handle_digest(self, digest: Digest, sent_at: float) -> None:
@@ -375,4 +388,5 @@
                 )
         self._rollouts.apply_reports(digest)
         self._rollouts.apply_old_versions(digest)
+        self.duties.observe(digest)
         self._selection.apply_loads(digest.loads, sent_at)
--- a/src/gypsummount/_edge/settings.py
+++ b/src/gypsummount/_edge/settings.py
@@ -45,10 +45,12 @@
 
     ``address`` is the ``host:port`` of the endpoint, which takes
     ``calls_per_s`` calls a second from all instances together.  A lease
-    lasts ``lease_s``.  A call that leaves the process up to ``thaw_s`` after
-    the end of a freeze is tolerated.  Usage is reported by windows of
-    ``report_window_s``, at most ``usage_delay_s`` after the end of the
-    window and within ``usage_off`` (a fraction) of the true value.
+    lasts ``lease_s``.  ``requires_fencing`` tells that the endpoint checks
+    tokens; they are sent in any case.  A call that leaves the process up
+    to ``thaw_s`` after the end of a freeze is tolerated.  Usage is reported
+    by windows of ``report_window_s``, at most ``usage_delay_s`` after the
+    end of the window and within ``usage_off`` (a fraction) of the true
+    value.
     """
 
     address: str
--- a/src/gypsummount/_edge/status.py
+++ b/src/gypsummount/_edge/status.py
@@ -5,6 +5,7 @@
 from gypsummount._common.logs import get_logger
 from gypsummount._common.loop_timer import LoopTimer
 from gypsummount._common.metrics import Metrics
+from gypsummount._edge.duties import Duties
 from gypsummount._edge.exposition import write_exposition
 from gypsummount._edge.front import EdgeFront
 from gypsummount._edge.gossip import Gossip
@@ -34,8 +35,10 @@
         gossip: Gossip,
         tokens: Tokens,
         bodies: BodyAccount,
+        duties: Duties,
     ) -> None:
         self._bodies = bodies
+        self._duties = duties
         self._metrics = metrics
         self._loop_timer = loop_timer
         self._front = front
@@ -69,6 +72,7 @@
             "is_relay": float(self._gossip.is_relay),
             "workspaces_owned": float(self._tokens.count_owned()),
             "token_requests_unanswered": float(self._tokens.unanswered),
+            **self._duties.list_gauges(),
         }
         return write_exposition(self._metrics, gauges, now)
 
--- a/src/gypsummount/_edge/store_feed.py
+++ b/src/gypsummount/_edge/store_feed.py
@@ -79,9 +79,12 @@
     """Reads, watches and writes the store.
 
     Every call ends within a time limit.  A failed call raises
-    :class:`gypsummount.errors.StoreUnavailable`.
+    :class:`gypsummount.errors.StoreUnavailable`.  ``era`` is that of the
+    store's last response, 0 while the store sends none.
     """
 
+    era: int = 0
+
     @abstractmethod
     async def list(self, kind: Kind) -> Listing:
         """Return all records of a kind, by a linearizable read."""
--- a/src/gypsummount/platform/__main__.py
+++ b/src/gypsummount/platform/__main__.py
@@ -16,6 +16,7 @@
 from gypsummount._edge.process import EdgeProcess
 from gypsummount.errors import SettingError
 from gypsummount.platform.auxiliary_servers import AuxiliaryServers
+from gypsummount.platform.cloud import CloudClient
 from gypsummount.platform.reloader import Reloader
 from gypsummount.platform.settings import get_settings_path
 from gypsummount.platform.settings import read_metrics_port
@@ -36,7 +37,14 @@
     path = get_settings_path()
     settings = read_settings(path)
     feed = StoreClient(settings.store)
-    process = EdgeProcess(settings.edge, feed, PlatformWire(), loop_timer)
+    duties = settings.edge.duties
+    process = EdgeProcess(
+        settings.edge,
+        feed,
+        PlatformWire(),
+        loop_timer,
+        CloudClient(duties.address) if duties is not None else None,
+    )
     on_stop(process.stop)
     reloader = Reloader(path, process)
     on_reload(reloader.reload)
--- a/src/gypsummount/platform/settings.py
+++ b/src/gypsummount/platform/settings.py
@@ -2,11 +2,13 @@
 
 from dataclasses import dataclass
 from json import loads
+from math import inf
 from os import environ
 from pathlib import Path
 
 from gypsummount._edge.settings import DEFAULT_CONFIG_APPLY_S
 from gypsummount._edge.settings import DEFAULT_DESCRIPTORS
+from gypsummount._edge.settings import DutySettings
 from gypsummount._edge.settings import EdgeBounds
 from gypsummount._edge.settings import EdgeSettings
 from gypsummount.errors import SettingError
@@ -16,6 +18,18 @@
 DEFAULT_METRICS_PORT = 9102
 MAX_LOOKUP_TTL_S = 2.0
 BYTES_PER_MB = 1_000_000
+# A shorter lease leaves no time for a renewal beside its margins.
+MIN_LEASE_S = 1.0
+# Fields of ``cloud`` and names in ``bounds``, with the attributes of
+# ``DutySettings`` that they set.
+CLOUD_FIELDS = {"dutyPerS": "calls_per_s", "requestsPerS": "requests_per_s"}
+DUTY_BOUNDS = {
+    "leaseS": "lease_s",
+    "thawS": "thaw_s",
+    "reportWindowS": "report_window_s",
+    "usageOff": "usage_off",
+    "usageDelayS": "usage_delay_s",
+}
 
 
 @dataclass(slots=True, frozen=True)
@@ -103,10 +117,63 @@
         descriptors=int(limits.get("fileDescriptors") or DEFAULT_DESCRIPTORS),
         capacity=_read_capacity(limits),
         memory_bytes=int(float(limits.get("memoryMb") or 0) * BYTES_PER_MB),
+        duties=_decode_duties(raw.get("cloud"), bounds, raw["bounds"]),
     )
     return PlatformSettings(edge, raw["platform"]["address"])
 
 
+def _decode_duties(
+    cloud: dict | None, bounds: dict[str, float], texts: list[str]
+) -> DutySettings | None:
+    """Return the settings of the duties, None if there are none."""
+    if not cloud or not cloud.get("duties"):
+        return None
+    given = {
+        attribute: float(cloud[name])
+        for name, attribute in CLOUD_FIELDS.items()
+        if cloud.get(name) is not None
+    }
+    for name, attribute in DUTY_BOUNDS.items():
+        if name in bounds:
+            given[attribute] = bounds[name]
+    settings = DutySettings(
+        _read_address(cloud["address"]),
+        tuple(dict.fromkeys(_read_duty(duty) for duty in cloud["duties"])),
+        requires_fencing="requireFencing=false" not in texts,
+        **given,
+    )
+    _check_duties(settings)
+    return settings
+
+
+def _check_duties(settings: DutySettings) -> None:
+    if not MIN_LEASE_S <= settings.lease_s < inf:
+        raise ValueError(f"leaseS: use at least {MIN_LEASE_S:g}")
+    for value in (
+        settings.calls_per_s,
+        settings.requests_per_s,
+        settings.report_window_s,
+    ):
+        if not 0 < value < inf:
+            raise ValueError("a rate or window of the duties is not positive")
+    for value in (settings.thaw_s, settings.usage_off, settings.usage_delay_s):
+        if not 0 <= value < inf:
+            raise ValueError("a bound of the duties is negative")
+
+
+def _read_duty(duty: object) -> str:
+    if not isinstance(duty, str) or not duty:
+        raise ValueError("a duty has no name")
+    return duty
+
+
+def _read_address(address: str) -> str:
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdecimal():
+        raise ValueError(f"'{address}' is not an IP with a port")
+    return address
+
+
 def _read_capacity(limits: dict) -> float:
     """Return the processor share (cores) of the process."""
     return float(limits.get("cpuShare") or 1.0) * float(
--- a/src/gypsummount/platform/store.py
+++ b/src/gypsummount/platform/store.py
@@ -14,9 +14,11 @@
 from gypsummount._common.lenient_json import load_lenient
 from gypsummount._common.logs import get_logger
 from gypsummount._core.catalog import RolloutOrder
+from gypsummount._core.lease_records import LeaseRecord
 from gypsummount._core.sanitizing import Header
 from gypsummount._edge.store_feed import InstanceRecord
 from gypsummount._edge.store_feed import Kind
+from gypsummount._edge.store_feed import LeaseReading
 from gypsummount._edge.store_feed import Listing
 from gypsummount._edge.store_feed import Origin
 from gypsummount._edge.store_feed import Record
@@ -30,6 +32,9 @@
 from gypsummount.errors import StoreConflict
 from gypsummount.errors import StoreUnavailable
 from gypsummount.platform.documents import decode_record
+from gypsummount.platform.leases import decode_lease
+from gypsummount.platform.leases import encode_lease
+from gypsummount.platform.leases import LEASE_KIND
 
 CALL_TIMEOUT_S = 1.0
 # Time beyond the requested wait after which a watch counts as failed.
@@ -144,6 +149,41 @@
             name = quote(record.name, safe="")
             await self._call("PUT", f"/-/objects/{kind}/{name}", body=body)
 
+    async def read_lease(self, duty: str) -> LeaseReading:
+        """Return the record of a duty, from a list of all leases.
+
+        :raises RecordInvalid: when the record cannot be decoded.
+        :raises StoreUnavailable: when the call fails.
+        """
+        after = ""
+        while True:
+            path = f"/-/objects/{LEASE_KIND}"
+            if after:
+                path += f"?after={quote(after, safe='')}"
+            raw = await self._call("GET", path)
+            items = _read_list(raw, "items")
+            for item in items:
+                if _read_metadata(item).get("name") == duty:
+                    return LeaseReading(decode_lease(item, self.era), self.era)
+            if not raw.get("hasMore") or not items:
+                return LeaseReading(None, self.era)
+            after = _find_last_name(items)
+
+    async def write_lease(self, record: LeaseRecord) -> LeaseRecord:
+        """Create a lease record, or replace it at its revision.
+
+        :raises RecordInvalid: when the response cannot be decoded.
+        :raises StoreConflict: when the record has another revision.
+        :raises StoreUnavailable: when the call fails.
+        """
+        path = f"/-/objects/{LEASE_KIND}"
+        method = "POST"
+        if record.revision:
+            path += f"/{quote(record.duty, safe='')}"
+            method = "PUT"
+        raw = await self._call(method, path, body=encode_lease(record))
+        return decode_lease(raw, self.era)
+
     def decode(self, record: Record) -> Value:
         """Return the decoded value of a record.
 
