--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -63,6 +63,8 @@
     ports: Ports
     servers: dict = field(default_factory=dict)
     processes: dict = field(default_factory=dict)
+    cloud: dict | None = None
+    program: str = "gypsummount.platform"
 
     def start(self, number, stdout=None, memory_mb=0):
         host = f"127.0.0.{number + 1}"
@@ -77,9 +79,10 @@
             ZONES,
             zone,
             memory_mb,
+            self.cloud,
         )
         process = subprocess.Popen(
-            [sys.executable, "-m", "gypsummount.platform"],
+            [sys.executable, "-m", self.program],
             env={
                 **os.environ,
                 "GYPSUMMOUNT_BOOT": str(path),
--- a/tests/platform/doubles.py
+++ b/tests/platform/doubles.py
@@ -35,6 +35,7 @@
         self.refused_hosts = set()
         self.closes_watches = False
         self.calls = 0
+        self.kinds_read = set()
 
     def put(self, kind, name, specification, status=None):
         self.revision += 1
@@ -118,6 +119,7 @@
         if watch is not None:
             await self._watch(kind, int(watch))
             return
+        self.store.kinds_read.add(kind)
         found = self.store.objects.get(kind, {})
         self.finish(
             {
@@ -282,10 +284,13 @@
     return serve(stack, _ServerHandler, {"server": server}, [r"/.*"])
 
 
-def write_settings(path, node, host, store, ports, zones, zone, memory_mb=0):
+def write_settings(
+    path, node, host, store, ports, zones, zone, memory_mb=0, cloud=None
+):
     path.write_text(
         dumps(
             {
+                **({"cloud": cloud} if cloud is not None else {}),
                 "node": node,
                 "ip": host,
                 "zone": zone,
