--- a/src/gypsummount/_edge/duty_lease.py
+++ b/src/gypsummount/_edge/duty_lease.py
@@ -4,7 +4,6 @@
 from asyncio import Lock
 from asyncio import sleep
 from asyncio import timeout
-from asyncio import wait_for
 from collections.abc import Callable
 
 from gypsummount._common.clocks import read_monotonic
@@ -181,6 +180,12 @@
 
     async def run(self) -> None:
         """Hold or seek the lease until it is released after a stop."""
+        try:
+            await self._advance()
+        finally:
+            self._progress.set()
+
+    async def _advance(self) -> None:
         while True:
             now = read_monotonic()
             self._machine.observe_era(self._store.era, now)
@@ -202,7 +207,10 @@
         delay_s = until - read_monotonic()
         limit_s = max(0.0, delay_s) if delay_s < float("inf") else None
         try:
-            await wait_for(self._wake.wait(), limit_s)
+            # asyncio.wait_for of Python 3.11 loses a cancellation that
+            # coincides with the event.
+            async with timeout(limit_s):
+                await self._wake.wait()
         except TimeoutError:
             return
         self._wake.clear()
--- a/tests/edge/test_duties.py
+++ b/tests/edge/test_duties.py
@@ -3,6 +3,7 @@
 from asyncio import create_task
 from asyncio import gather
 from asyncio import sleep
+from asyncio import timeout
 from contextlib import AsyncExitStack
 from dataclasses import replace
 
@@ -262,6 +263,15 @@
         assert not await holder.lease.write_payload("window 1")
         assert not holder.lease.token
 
+    async def test_payload_at_a_stop_is_not_waited_for(self, holder, store):
+        """Guards against a writer that waits for a task that has ended."""
+        store.is_down = True
+        writing = create_task(holder.lease.write_payload("window 1"))
+        await sleep(0)
+        holder.duties.stop()
+        async with timeout(2.0):
+            assert not await writing
+
     async def test_calls_are_made_one_at_a_time(self, holder):
         await gather(*(holder.lease.call(b"x") for _ in range(5)))
         assert len(holder.feed.calls) == 5
@@ -280,6 +290,17 @@
         assert store.record.refusals == 1
         assert holder.metrics.read_counts()["duty.refused"] == 1
 
+    async def test_task_ends_although_it_was_just_woken(self, store):
+        """Guards against a cancellation that coincides with an event.
+
+        The process would never end.
+        """
+        async with timeout(5.0) as limit, AsyncExitStack() as stack:
+            created = Instance(store, stack)
+            await created.acquire()
+            created.lease.poll_early()
+        assert not limit.expired()
+
     async def test_stopped_holder_releases_with_its_last_payload(
         self, holder, store
     ):
