Read the lease early when its holder announces that it leaves

A candidate polls once a second, so a planned stop left the duty without a holder for up to that time.

Measured: test_announced_release_is_read_early fails without the change.

--- a/src/gypsummount/_core/duty_leases.py
+++ b/src/gypsummount/_core/duty_leases.py
@@ -168,10 +168,10 @@
             self._attempts.clear()
 
     def poll_early(self, now: float) -> None:
-        """Read soon, as the holder was seen to leave."""
-        earliest_at = self._polled_at + self._timing.retry_s
-        if self._rank == 0 and now >= earliest_at:
-            self._polled_at = -inf
+        """Read soon, as the holder has announced that it leaves."""
+        if self._rank == 0:
+            early_s = self._timing.get_poll_period(0) - self._timing.retry_s
+            self._polled_at = min(self._polled_at, now - early_s)
 
     def decide(self, now: float) -> LeaseAction:
         """Return what to do now."""
--- a/tests/core/test_duty_leases.py
+++ b/tests/core/test_duty_leases.py
@@ -78,6 +78,18 @@
         wait_for_holder(fleet, "b", 1.5)
         assert fleet.instances["b"].machine.payload == "last"
 
+    def test_announced_release_is_read_early(self, fleet):
+        """Guards against a hand-over that waits for the next poll."""
+        while fleet.instances["b"].call is None:
+            fleet.tick()
+        fleet.run(0.25)
+        for name in "ab":
+            instance = fleet.instances[name]
+            now = instance.read_clock(fleet.now)
+            instance.machine.begin_release(now)
+            instance.machine.poll_early(now)
+        assert wait_for_holder(fleet, "b", 1.0) < 0.8
+
     def test_restarted_holder_does_not_hold_the_old_lease(self, fleet):
         """Guards against a lease that a restarted process still uses.
 
