--- a/src/gypsummount/_core/duty_ranks.py
+++ b/src/gypsummount/_core/duty_ranks.py
@@ -6,7 +6,7 @@
 CANDIDATE_COUNT = 2
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True, eq=False)
 class DutyMember:
     """A serving instance that can reach the store, as far as is known.
 
