--- a/src/gypsummount/platform/eras.py
+++ b/src/gypsummount/platform/eras.py
@@ -71,7 +71,14 @@
 
         :raises StoreConflict: when the position is of an earlier era.
         """
-        if get_era(position) < self.newest:
+        self.check_era(get_era(position))
+
+    def check_era(self, era: int) -> None:
+        """Check that what was read in an era may be replaced.
+
+        :raises StoreConflict: when the era is an earlier one.
+        """
+        if era < self.newest:
             raise StoreConflict(
                 "the store was restored since this object was read; read it "
                 "again"
