--- a/src/gypsummount/_edge/peers.py
+++ b/src/gypsummount/_edge/peers.py
@@ -257,6 +257,13 @@
         """Return the latest digest of every known peer, live or not."""
         return [peer.digest for peer in self._peers.values()]
 
+    def list_ages(self, now: float) -> list[RelayedDigest]:
+        """Return the latest digest of every known peer and its age."""
+        return [
+            RelayedDigest(peer.digest, now - peer.received_at)
+            for peer in self._peers.values()
+        ]
+
     def list_advertised(self, now: float) -> list[Digest]:
         """Return the digests of peers that callers may connect to.
 
