Count the proxy's sends by workspace and window

A send counts when it is made, in the window in which a slot is expected, and is reverted when the answer proves that it was not executed. The counter is optional, so a deployment without the duty does nothing more.

--- a/src/gypsummount/_edge/admission.py
+++ b/src/gypsummount/_edge/admission.py
@@ -67,6 +67,7 @@
     """A request in progress and the decisions made about it.
 
     ``arrived_at`` and ``deadline`` are in seconds of the boot clock.
+    ``usage_window`` is the window in which the last send was counted.
     """
 
     arrival: Arrival
@@ -83,6 +84,7 @@
     sends: int = 0
     may_have_run: bool = False
     last_send: Send | None = None
+    usage_window: int | None = None
 
     @property
     def workspace_name(self) -> str | None:
--- a/src/gypsummount/_edge/proxy.py
+++ b/src/gypsummount/_edge/proxy.py
@@ -13,6 +13,7 @@
 from gypsummount._edge.replica import Replica
 from gypsummount._edge.retry_budgets import RetryBudgets
 from gypsummount._edge.selection import Selection
+from gypsummount._edge.send_counter import SendCounter
 from gypsummount._edge.waiting import Pick
 from gypsummount._edge.wire import AnswerReport
 from gypsummount._edge.wire import Arrival
@@ -63,7 +64,9 @@
         retry_budgets: RetryBudgets,
         wire: Wire,
         region: str,
+        usage: SendCounter | None = None,
     ) -> None:
+        self._usage = usage
         self._replica = replica
         self._selection = selection
         self._admission = admission
@@ -183,6 +186,8 @@
             pick.load,
             read_monotonic() - context.arrived_at,
         )
+        if self._usage is not None:
+            self._usage.record_send(context, pick)
         return self._wire.build_request(
             context.arrival,
             backend.record.name,
@@ -223,6 +228,8 @@
                 report.load.running, report.load.waiting, now
             )
         if not report.ran:
+            if self._usage is not None:
+                self._usage.record_not_run(context)
             self._record_refusal(backend, report, now)
             return
         failed = reply.answer.status >= SERVER_ERROR_STATUS
