--- a/src/gypsummount/_core/usage_reports.py
+++ b/src/gypsummount/_core/usage_reports.py
@@ -161,8 +161,7 @@
 
     def hear(self, recorded: int, settled: int, at: float) -> bool:
         """Apply what another instance knows; return False if impossible."""
-        # No window is recorded before it is final; clocks differ a little.
-        last = self._rules.get_window(at - CLOSE_DELAY_S + MAX_SKEW_S) - 1
+        last = self._rules.get_window(at + MAX_SKEW_S) - 1
         if max(recorded, settled) > last:
             return False
         self.recorded = max(self.recorded, recorded)
--- a/src/gypsummount/_edge/usage.py
+++ b/src/gypsummount/_edge/usage.py
@@ -59,7 +59,10 @@
 
 
 class Usage:
-    """Counts, sends, collects and reports the usage of workspaces."""
+    """Sends, collects and reports the usage of workspaces.
+
+    ``counts`` is what the proxy counts into.
+    """
 
     def __init__(
         self,
@@ -78,11 +81,11 @@
         self._duties = duties
         self._peers = peers
         self._send = gossip.send
-        self._counts = UsageCounts(rules, own.started_at)
+        self.counts = UsageCounts(rules, own.started_at)
         self._collection = UsageCollection(rules)
         self._reports = UsageReports(rules, own.started_at)
         self._sender = UsageSender(
-            own, self._counts, duties, gossip.send, self._keep_counts
+            own, self.counts, duties, gossip.send, self._keep_counts
         )
         self._reporter = UsageReporter(
             duties.leases[DUTY],
@@ -95,8 +98,6 @@
         self._invalid_lines = LineLimiter(
             INVALID_LINES_PER_S, read_monotonic()
         )
-        self.record_send = self._counts.record_send
-        self.record_not_run = self._counts.record_not_run
         gossip.add_handler(COUNTS_MARK, self.receive_counts)
         gossip.add_handler(ACK_MARK, self.receive_ack)
         gossip.add_handler(NEWS_MARK, self.receive_news)
@@ -115,13 +116,13 @@
         """Send this instance's counts and observe who is live."""
         at = read_wall()
         self._observe(at)
-        self._counts.close_windows(at)
+        self.counts.close_windows(at)
         self._settle()
         self._sender.send_changes(self._build_news(), at)
 
     async def finish(self) -> None:
         """Send the last counts, as this instance serves no more."""
-        self._counts.finish(read_wall())
+        self.counts.finish(read_wall())
         for _ in range(LAST_SENDS):
             self._sender.send_changes(self._build_news(), read_wall())
             if self._sender.is_acknowledged():
@@ -173,7 +174,7 @@
         return {
             "usage_recorded_window": float(self._reports.recorded),
             "usage_settled_window": float(self._reports.settled),
-            "usage_windows_kept": float(len(self._counts.list_windows())),
+            "usage_windows_kept": float(len(self.counts.list_windows())),
         }
 
     def _keep_counts(self, message: CountsMessage) -> None:
@@ -203,7 +204,7 @@
 
     def _settle(self) -> None:
         settled = self._reports.settled
-        self._counts.settle(settled)
+        self.counts.settle(settled)
         self._collection.settle(settled)
 
     def _observe(self, at: float) -> None:
