--- a/src/gypsummount/_edge/usage_sender.py
+++ b/src/gypsummount/_edge/usage_sender.py
@@ -99,7 +99,7 @@
         ]
 
     def _update_receivers(self) -> None:
-        """Keep the current receivers; a new holder gets all counts again."""
+        """Keep the current receivers; a new one gets all counts."""
         peers = (
             self._duties.get_first_candidate(DUTY),
             self._duties.get_holder(DUTY),
@@ -110,7 +110,7 @@
         windows = set(self._counts.list_windows())
         for name, peer in current.items():
             known = self._receivers.get(name)
-            if known is None or known.peer.token < peer.token:
+            if known is None:
                 self._receivers[name] = _Receiver(peer)
                 continue
             known.peer = peer
--- a/tests/edge/test_usage.py
+++ b/tests/edge/test_usage.py
@@ -20,6 +20,8 @@
 from gypsummount._edge.peers import Peers
 from gypsummount._edge.settings import DutySettings
 from gypsummount._edge.usage import Usage
+from gypsummount._edge.usage_messages import decode_news
+from gypsummount._edge.usage_messages import NEWS_MARK
 from tests.edge.test_peers import build_digest
 
 START = 1_000_000.0
@@ -469,6 +471,43 @@
             fleet.elect(random.randrange(6), random.randrange(6))
 
 
+class TestMessages:
+    async def test_record_is_announced_before_the_call(self, clock):
+        """Guards against a holder that is killed while its call runs."""
+        fleet = _Fleet(clock, 5)
+        announced = []
+
+        def take_call(token, report):
+            announced.append(
+                {
+                    receiver
+                    for data, sender, receiver in fleet.pending
+                    if data.startswith(NEWS_MARK)
+                    and decode_news(data).recorded == report[0]
+                }
+            )
+            return DutyResult(DutyOutcome.DONE)
+
+        fleet.take_call = take_call
+        await fleet.run(8)
+        others = [fleet.instances[number] for number in range(1, 5)]
+        assert announced == [{other.digest.host for other in others}]
+
+    async def test_receiver_that_has_restarted_gets_all_again(self, clock):
+        """Guards against counts that only its earlier process had."""
+        fleet = _Fleet(clock, 3)
+        # The final counts of the first window are acknowledged and kept.
+        fleet.call_outcomes = [DutyOutcome.OVERLOADED]
+        await fleet.run(8)
+        fleet.start(1)
+        await fleet.run(3)
+        collection = fleet.instances[1].usage._collection
+        found = fleet.instances[0].usage.counts.get_part(WINDOW, 0, clock.at)
+        source = fleet.instances[0].usage._own
+        kept = collection._sources[source].windows[WINDOW]
+        assert kept.parts[0].counts == found.counts
+
+
 class TestInvalidMessages:
     @given(st.binary(max_size=120), st.sampled_from([b"U", b"K", b"N"]))
     def test_unreadable_datagrams_change_nothing(self, data, mark):
