--- a/src/gypsummount/_core/usage_reports.py
+++ b/src/gypsummount/_core/usage_reports.py
@@ -241,6 +241,8 @@
         age_s = at - self._rules.get_end(window)
         if age_s < CLOSE_DELAY_S or at < self._held_since + TAKEOVER_S:
             return None
+        if at < self._started_at + DISCOVERY_S:
+            return None
         if not self._knows_fleet(window):
             return self._miss(window, window, MissReason.NEW_HOLDER)
         coverage = collection.estimate_coverage(window)
--- a/src/gypsummount/_edge/usage_reporter.py
+++ b/src/gypsummount/_edge/usage_reporter.py
@@ -16,6 +16,8 @@
 from gypsummount._edge.duty_feed import DutyResult
 from gypsummount.errors import RecordInvalid
 
+# Time (s) until a write without an acknowledgement is repeated.
+WRITE_RETRY_S = 1.0
 # Instances named in the log of an incomplete window.
 MAX_LOGGED_NAMES = 8
 
@@ -47,6 +49,7 @@
         self._send_news = send_news
         self._metrics = metrics
         self._token = 0
+        self._next_write_at = float("-inf")
         lease.on_release = self._build_release
 
     async def record(self) -> None:
@@ -113,12 +116,15 @@
             await self._lease.write_payload(self._reports.build_payload())
 
     async def _write(self, report: Report) -> None:
+        if read_monotonic() < self._next_write_at:
+            return
         token = self._token
         payload = self._reports.build_payload(report)
         is_written = await self._lease.write_payload(payload)
         if token != self._token:
             return
         if not is_written:
+            self._next_write_at = read_monotonic() + WRITE_RETRY_S
             _log.warning(
                 "Usage window %d is not recorded yet; it is written again.",
                 report.window,
