Run usage reports in the edge process

The proxy counts and the tasks run only where the settings list the duty and the platform gives an encoder of the report.

--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -32,6 +32,7 @@
 from gypsummount._edge.follower import Follower
 from gypsummount._edge.front import EdgeFront
 from gypsummount._edge.gossip import Gossip
+from gypsummount._edge.isolation import Isolation
 from gypsummount._edge.lag_repair import LagRepair
 from gypsummount._edge.peers import GOSSIP_INTERVAL_S
 from gypsummount._edge.peers import Peers
@@ -51,18 +52,15 @@
 from gypsummount._edge.store_feed import StoreFeed
 from gypsummount._edge.store_reader import StoreReader
 from gypsummount._edge.store_reader import WATCH_WAIT_S
-from gypsummount._edge.token_messages import GRANT_MARK
-from gypsummount._edge.token_messages import REFUND_MARK
-from gypsummount._edge.token_messages import REQUEST_MARK
 from gypsummount._edge.tokens import Tokens
+from gypsummount._edge.usage_duty import UsageDuty
+from gypsummount._edge.usage_reporter import ReportEncoder
 from gypsummount._edge.wire import Wire
 from gypsummount.errors import StoreError
 
 REFRESH_INTERVAL_S = 0.1
 ROLLOUT_INTERVAL_S = 0.3
 PROOF_INTERVAL_S = 0.2
-# A freshness proof older than this (s) suggests that no updates arrive.
-ISOLATION_PROOF_AGE_S = 2.0
 REGISTER_RETRY_S = 1.0
 INITIAL_RATE_SHARE = 0.1
 MS_PER_S = 1000
@@ -80,6 +78,7 @@
         wire: Wire,
         loop_timer: LoopTimer | None = None,
         duty_feed: DutyFeed | None = None,
+        encode_usage: ReportEncoder | None = None,
     ) -> None:
         self._loop_timer = loop_timer or LoopTimer()
         self._settings = settings
@@ -93,9 +92,9 @@
         self._refreshed_at = read_monotonic()
         self._fleet_due_at = self._refreshed_at
         self._live: list[Digest] = []
-        self._is_isolated = False
         self.replica = Replica(feed, FreshnessProof(limit_s))
         self.peers = Peers(settings.region, settings.domain)
+        self._isolation = Isolation(self.replica, self.peers)
         self._fleet_state = FleetState(settings, self.replica, self.peers)
         self._prober = Prober(self.replica, wire, settings.region)
         self._bodies = BodyAccount(
@@ -135,9 +134,19 @@
             self.peers,
             self._gossip.send,
         )
-        self._gossip.add_handler(REQUEST_MARK, self._tokens.receive_request)
-        self._gossip.add_handler(GRANT_MARK, self._tokens.receive_grant)
-        self._gossip.add_handler(REFUND_MARK, self._tokens.receive_refund)
+        self._tokens.add_handlers(self._gossip)
+        self.duties = Duties(
+            settings, self._incarnation, feed, duty_feed, self.metrics
+        )
+        self._usage = UsageDuty(
+            settings,
+            self._incarnation,
+            self.duties,
+            self.peers,
+            self._gossip,
+            encode_usage,
+            self.metrics,
+        )
         self.front = EdgeFront(
             Proxy(
                 self.replica,
@@ -152,6 +161,7 @@
                 self._retry_budgets,
                 wire,
                 settings.region,
+                self._usage.counter,
             ),
             wire,
             self.metrics,
@@ -160,9 +170,6 @@
             settings.max_connections,
             self._bodies,
         )
-        self.duties = Duties(
-            settings, self._incarnation, feed, duty_feed, self.metrics
-        )
         self._status = EdgeStatus(
             self.metrics,
             self._loop_timer,
@@ -174,6 +181,7 @@
             self._tokens,
             self._bodies,
             self.duties,
+            self._usage,
         )
 
     @property
@@ -227,6 +235,7 @@
             self._start_tasks(stack)
             await self._shutdown.wait()
             await self._shutdown.finish_requests(self.front)
+            await self._usage.finish()
         _log.info("Stopped.")
 
     async def _open(self, stack: AsyncExitStack) -> None:
@@ -254,6 +263,7 @@
             )
         start_task(stack, self._follower.run(), "following")
         self.duties.start(stack)
+        self._usage.start(stack)
         start_task(stack, self._prober.run(), "probing")
         steps = (
             (self._send_digests, GOSSIP_INTERVAL_S, "gossip"),
@@ -282,7 +292,8 @@
         if not self.peers.is_grouped or now >= self._fleet_due_at:
             self._fleet_due_at = now + GOSSIP_INTERVAL_S
             self._update_fleet(now)
-        self._check_isolation(now)
+        if self._isolation.update(self._live, now):
+            self._selection.mark_isolated(now)
         self._selection.update()
         self._refreshed_at = read_monotonic()
 
@@ -299,27 +310,6 @@
             self._live, is_grouped=self.peers.is_grouped
         )
 
-    def _check_isolation(self, now: float) -> None:
-        """Notify the selection while neither store nor peers send updates.
-
-        While most peers are live, the store itself is unreachable, so
-        no other instance can have updates that this one lacks.
-        """
-        age_s = self.replica.proof.get_age(now)
-        is_alone = 2 * len(self._live) < len(self.peers.list_known())
-        was_isolated = self._is_isolated
-        self._is_isolated = (
-            is_alone and age_s is not None and age_s > ISOLATION_PROOF_AGE_S
-        )
-        if self._is_isolated != was_isolated:
-            _log.warning(
-                "Isolated: no updates from the store or from most peers."
-                if self._is_isolated
-                else "No longer isolated: updates arrive again."
-            )
-        if self._is_isolated:
-            self._selection.mark_isolated(now)
-
     async def _drive_rollouts(self) -> None:
         if not self._rollouts.is_active:
             return
--- a/src/gypsummount/_edge/status.py
+++ b/src/gypsummount/_edge/status.py
@@ -13,6 +13,7 @@
 from gypsummount._edge.replica import Replica
 from gypsummount._edge.store_reader import StoreReader
 from gypsummount._edge.tokens import Tokens
+from gypsummount._edge.usage_duty import UsageDuty
 
 # Periodic steps that start later than this (s) are logged.
 MIN_LOGGED_DELAY_S = 0.3
@@ -36,7 +37,9 @@
         tokens: Tokens,
         bodies: BodyAccount,
         duties: Duties,
+        usage: UsageDuty,
     ) -> None:
+        self._usage = usage
         self._bodies = bodies
         self._duties = duties
         self._metrics = metrics
@@ -73,6 +76,7 @@
             "workspaces_owned": float(self._tokens.count_owned()),
             "token_requests_unanswered": float(self._tokens.unanswered),
             **self._duties.list_gauges(),
+            **self._usage.list_gauges(),
         }
         return write_exposition(self._metrics, gauges, now)
 
--- a/src/gypsummount/_edge/tokens.py
+++ b/src/gypsummount/_edge/tokens.py
@@ -13,6 +13,7 @@
 from gypsummount._core.quotas import QuotaShares
 from gypsummount._core.token_owners import divide_region
 from gypsummount._core.token_owners import rank_owners
+from gypsummount._edge.gossip import Gossip
 from gypsummount._edge.peers import Peers
 from gypsummount._edge.replica import Replica
 from gypsummount._edge.token_messages import decode_grant
@@ -21,6 +22,9 @@
 from gypsummount._edge.token_messages import encode_grant
 from gypsummount._edge.token_messages import encode_refund
 from gypsummount._edge.token_messages import encode_request
+from gypsummount._edge.token_messages import GRANT_MARK
+from gypsummount._edge.token_messages import REFUND_MARK
+from gypsummount._edge.token_messages import REQUEST_MARK
 from gypsummount._edge.token_messages import TokenGrant
 from gypsummount._edge.token_messages import TokenRequest
 
@@ -65,6 +69,12 @@
         self.unanswered = 0
         self._granted: OrderedDict[tuple[str, int], TokenGrant] = OrderedDict()
 
+    def add_handlers(self, gossip: Gossip) -> None:
+        """Receive the token messages that arrive on the gossip port."""
+        gossip.add_handler(REQUEST_MARK, self.receive_request)
+        gossip.add_handler(GRANT_MARK, self.receive_grant)
+        gossip.add_handler(REFUND_MARK, self.receive_refund)
+
     def update(self, unknown: int, now: float) -> None:
         """Update the owners and the part of the rates to use.
 
--- a/src/gypsummount/_edge/usage.py
+++ b/src/gypsummount/_edge/usage.py
@@ -169,7 +169,7 @@
         if news.wants_answer:
             self._send(encode_news(self._build_news()), host)
 
-    def build_gauges(self) -> dict[str, float]:
+    def list_gauges(self) -> dict[str, float]:
         """Return the gauges of usage reports."""
         return {
             "usage_recorded_window": float(self._reports.recorded),
--- a/src/gypsummount/_edge/wire.py
+++ b/src/gypsummount/_edge/wire.py
@@ -1,8 +1,7 @@
-"""Interface to what callers, upstreams and duty endpoints exchange."""
+"""Interface to the headers that callers and upstreams exchange."""
 
 from abc import ABC
 from abc import abstractmethod
-from collections.abc import Mapping
 from dataclasses import dataclass
 
 from tornado.httputil import HTTPServerRequest
@@ -64,7 +63,7 @@
 
 
 class Wire(ABC):
-    """Reads and writes the messages of one deployment's protocol."""
+    """Reads and writes the headers of one deployment's protocol."""
 
     id_header: str
 
@@ -104,7 +103,3 @@
     @abstractmethod
     def get_status(self, error: RequestError) -> int:
         """Return the HTTP status with which an error is answered."""
-
-    @abstractmethod
-    def encode_usage(self, window: int, counts: Mapping[str, int]) -> bytes:
-        """Return the body that reports the usage of a window."""
--- a/src/gypsummount/platform/__main__.py
+++ b/src/gypsummount/platform/__main__.py
@@ -22,6 +22,7 @@
 from gypsummount.platform.settings import read_metrics_port
 from gypsummount.platform.settings import read_settings
 from gypsummount.platform.store import StoreClient
+from gypsummount.platform.usage_calls import encode_usage
 from gypsummount.platform.wire import PlatformWire
 
 USAGE_EXIT = 2
@@ -44,6 +45,7 @@
         PlatformWire(),
         loop_timer,
         CloudClient(duties.address) if duties is not None else None,
+        encode_usage,
     )
     on_stop(process.stop)
     reloader = Reloader(path, process)
--- a/src/gypsummount/platform/wire.py
+++ b/src/gypsummount/platform/wire.py
@@ -1,7 +1,5 @@
 """HTTP headers of the platform's callers and servers."""
 
-from collections.abc import Mapping
-from json import dumps
 from typing import final
 
 from tornado.httputil import HTTPHeaders
@@ -203,11 +201,6 @@
             return UNAUTHORIZED
         return error.status
 
-    def encode_usage(self, window: int, counts: Mapping[str, int]) -> bytes:
-        """Return the JSON body of the platform's usage call."""
-        raw = {"window": window, "counts": dict(counts)}
-        return dumps(raw, separators=(",", ":")).encode()
-
 
 def _list_forwarded(
     headers: HTTPHeaders, key: str | None
--- a/tests/edge/test_usage.py
+++ b/tests/edge/test_usage.py
@@ -522,5 +522,5 @@
         finally:
             patch.undo()
         usage = fleet.instances[0].usage
-        assert usage.build_gauges()["usage_recorded_window"] == -1
+        assert usage.list_gauges()["usage_recorded_window"] == -1
         assert usage._collection.sum_counts(WINDOW) == {}
