--- a/src/gypsummount/_edge/usage_reporter.py
+++ b/src/gypsummount/_edge/usage_reporter.py
@@ -121,7 +121,8 @@
         token = self._token
         payload = self._reports.build_payload(report)
         is_written = await self._lease.write_payload(payload)
-        if token != self._token:
+        if self._lease.token != token:
+            # What the next takeover finds in the payload is reported.
             return
         if not is_written:
             self._next_write_at = read_monotonic() + WRITE_RETRY_S
