Test that stops and lost tokens cost no counts

Real processes that stop, the holder among them, lose no request of the report; a write that ends under another token leads to no call.

--- a/tests/edge/test_usage.py
+++ b/tests/edge/test_usage.py
@@ -12,6 +12,7 @@
 import pytest
 
 from gypsummount._common.metrics import Metrics
+from gypsummount._core.usage_reports import encode_payload
 from gypsummount._edge import usage as usage_module
 from gypsummount._edge import usage_reporter as reporter_module
 from gypsummount._edge.duties import DutyPeer
@@ -407,6 +408,24 @@
         assert counts["usage.windows_missed.record_lost"] == 1
         assert fleet.check_reports()[-1] > WINDOW + 3
 
+    async def test_write_that_ends_under_another_token_does_not_count(
+        self, clock, monkeypatch
+    ):
+        """Guards against calls for a record that a later holder replaced."""
+
+        async def write_payload(lease, payload):
+            lease.fleet.elect(0)
+            return True
+
+        monkeypatch.setattr(_Lease, "write_payload", write_payload)
+        fleet = _Fleet(clock, 3)
+        await fleet.run(2)
+        fleet.stored.append(encode_payload(WINDOW - 1, WINDOW - 1, []))
+        fleet.elect(0)
+        await fleet.run(16)
+        assert fleet.token > 3
+        assert fleet.calls == {}
+
     async def test_lost_response_is_repeated_exactly(self, clock):
         """Guards against a retry with counts that came later."""
         fleet = _Fleet(clock, 6, seed=1)
--- a/tests/platform/test_usage_reports.py
+++ b/tests/platform/test_usage_reports.py
@@ -1,5 +1,6 @@
 """Usage reports of real processes, with doubles of store and endpoint."""
 
+from asyncio import create_task
 from asyncio import sleep
 from json import loads
 
@@ -133,6 +134,34 @@
         fleet.read_reports()
 
 
+class TestStops:
+    @pytest.mark.parametrize("is_holder", [False, True])
+    async def test_planned_stop_loses_no_counts(self, fleet, is_holder):
+        """Guards against counts of the last second that nobody gets."""
+        others = [number for number in FLEET if number != fleet.holder]
+        number = fleet.holder if is_holder else others[0]
+        deployment = fleet.deployment
+        first = await fleet.wait_for_window()
+        before = fleet.count_runs()
+        calls = create_task(
+            deployment.call_until_stopped(deployment.open_pool(number), "id")
+        )
+        await sleep(0.3)
+        process = deployment.processes[number]
+        process.terminate()
+        await calls
+        while process.poll() is None:
+            await sleep(0.05)
+        last = int(read_wall() // WINDOW_S)
+        runs = fleet.count_runs() - before
+        assert runs > BURST
+        counted = 0
+        for window in range(first, last + 1):
+            counts = await fleet.wait_for_report(window)
+            counted += counts.get("w", 0)
+        assert counted == runs
+
+
 class TestWire:
     def test_body_of_a_call(self):
         """Guards against a body that the endpoint does not accept."""
