--- a/src/gypsummount/_edge/follower.py
+++ b/src/gypsummount/_edge/follower.py
@@ -33,6 +33,9 @@
 SETTLE_S = 4.0
 MIN_PROBE_DELAY_S = 0.6
 MAX_PROBE_DELAY_S = 2.0
+# When the store has the configuration in force again, the reader's proof
+# takes some time to arrive; meanwhile followers do not read the store.
+PROOF_ARRIVAL_S = 1.0
 
 _log = get_logger("following")
 
@@ -68,6 +71,7 @@
         self._is_stale = False
         self._probe_at = float("-inf")
         self._probe_delay_s = MIN_PROBE_DELAY_S
+        self._proof_expected_until = float("-inf")
         seeds = settings.seeds
         store_reader.is_reading = not seeds or settings.host in seeds
 
@@ -192,9 +196,13 @@
     def _is_proof_recent(self) -> bool:
         """Tell whether reading the store would give no newer proof.
 
-        While the store lacks the configuration in force, none does.
+        While the store lacks the configuration in force, none does, and
+        soon after that the reader's proof arrives.
         """
+        now = read_monotonic()
         if self._replica.is_catalog_withheld:
+            self._proof_expected_until = now + PROOF_ARRIVAL_S
+        if now < self._proof_expected_until:
             return True
-        age_s = self._replica.proof.get_age(read_monotonic())
+        age_s = self._replica.proof.get_age(now)
         return age_s is not None and age_s <= self._max_proof_age_s
--- a/tests/model/test_restores.py
+++ b/tests/model/test_restores.py
@@ -14,6 +14,8 @@
 FAULT_SPAN_S = 8.0
 COPY_AGE_S = 2.0
 OUTAGE_S = 0.3
+# Eight instances make some 6 calls a second when nothing happens.
+MAX_CALLS_PER_S = 10.0
 # By then, no instance has registered yet.
 BEFORE_REGISTRATION_S = 0.0005
 
@@ -68,7 +70,8 @@
     def test_missing_configuration_costs_few_calls(self):
         """Guards against a fleet that reads the store while it waits.
 
-        No read can renew the proofs until the operator repeats the change.
+        No read can renew the proofs until the operator repeats the change,
+        and then one instance of each region is to read first.
         """
         calls = []
 
@@ -85,9 +88,12 @@
             for instance in fleet.instances.values():
                 assert instance.process.replica.is_catalog_withheld
             await restore
+            before = fleet.store.calls
+            await sleep(3.0)
+            calls.append((fleet.store.calls - before) / 3.0)
 
         assert run_seed(1, script=wait_for_the_operator) == []
-        assert calls[0] < 14.0
+        assert max(calls) < MAX_CALLS_PER_S
 
 
 class TestRegistrations:
