--- a/src/gypsummount/platform/eras.py
+++ b/src/gypsummount/platform/eras.py
@@ -27,6 +27,7 @@
 
     def __init__(self) -> None:
         self.newest = 0
+        self._has_answers_with = False
         self._has_answers_without = False
         self._ignored = LineLimiter(ERA_LINES_PER_S, read_monotonic())
         self._outdated = LineLimiter(ERA_LINES_PER_S, read_monotonic())
@@ -49,12 +50,15 @@
                 f"the store answered from its earlier era {era}; check that "
                 "no replica of it runs on an old copy"
             )
-        self._has_answers_without = False
-        if era > self.newest:
+        if era > self.newest and (
+            self._has_answers_with or self._has_answers_without
+        ):
             _log.info(
                 "The store answers in a new era.",
                 extra={"era": era, "known": self.newest},
             )
+        self._has_answers_with = True
+        self._has_answers_without = False
         self.newest = era
         return era
 
--- a/tests/platform/test_store_eras.py
+++ b/tests/platform/test_store_eras.py
@@ -71,6 +71,14 @@
             eras.accept(state_era("x"))
         assert 1 <= len(caplog.records) <= 3
 
+    def test_restore_is_logged_but_not_the_first_answer(self, caplog):
+        caplog.set_level("INFO")
+        eras = StoreEras()
+        eras.accept(state_era("0"))
+        assert caplog.records == []
+        eras.accept(state_era("1"))
+        assert "new era" in caplog.text
+
     def test_store_without_eras_costs_no_line(self, caplog):
         assert StoreEras().accept([]) == 0
         assert caplog.records == []
