--- a/src/gypsummount/_edge/lag_repair.py
+++ b/src/gypsummount/_edge/lag_repair.py
@@ -38,6 +38,7 @@
         store_reader: StoreReader,
         sources: Sources,
     ) -> None:
+        self._own = settings.instance
         self._port = settings.peer_port
         self._max_lag_s = settings.bounds.config_apply_s * LAG_FRACTION
         self._replica = replica
@@ -83,9 +84,20 @@
                 keeper.name,
             )
             await self._fetch_all(keeper)
-        if self._sources.live and not self._keepers.is_pending:
+        if self._has_heard_all() and not self._keepers.is_pending:
             self._store_reader.has_compared_peers = True
 
+    def _has_heard_all(self) -> bool:
+        """Tell whether all other registered instances have sent a digest.
+
+        One that has just started cannot tell what the store has lost.
+        """
+        if not self._replica.is_known(Kind.INSTANCE):
+            return False
+        heard = {peer.name for peer in self._sources.live}
+        others = self._replica.instances.keys() - {self._own}
+        return bool(heard) and others <= heard
+
     def _get_known_revision(self, kind: Kind) -> int:
         if not self._replica.is_known(kind):
             return -1
--- a/tests/platform/test_usage_reports.py
+++ b/tests/platform/test_usage_reports.py
@@ -8,6 +8,7 @@
 
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.clocks import read_wall
+from gypsummount._core.usage_reports import DISCOVERY_S
 from gypsummount.platform.usage_calls import encode_usage
 from tests.platform.duty_double import DutyDouble
 from tests.platform.duty_double import serve_duties
@@ -92,6 +93,8 @@
     await deployment.wait_ready(*FLEET)
     created = UsageFleet(deployment, double)
     created.holder = await created.wait_for_holder()
+    # A holder misses windows that began before it knew all instances.
+    await sleep(DISCOVERY_S)
     yield created
     created.read_reports()
 
