Fail exchanges whose answer has an invalid status

Cause: the status line of an answer was parsed, not checked, so callers got the statuses 000 and 099 of a faulty upstream as 0 and 99.

Change: a status outside 100 to 599 fails the exchange with an error that names it. The proxy treats that as any broken exchange: a repeatable request is tried again, then 502; one that is not ends with 504, outcome unknown.

--- a/src/gypsummount/_entry/exchanges.py
+++ b/src/gypsummount/_entry/exchanges.py
@@ -24,6 +24,8 @@
 
 MAX_ANSWER_BYTES = 32 * 1024 * 1024
 REQUEST_ID_HEADER = "X-Request-Id"
+# HTTP/1.1 defines no other status codes.
+VALID_STATUSES = range(100, 600)
 
 
 class ExchangeError(GypsummountError):
@@ -78,7 +80,8 @@
 class _AnswerReader(HTTPMessageDelegate):
     """Collects the head and body of one answer.
 
-    ``is_complete`` is set once the end of the answer was received.
+    ``is_complete`` is set once the end of the answer was received, and
+    ``invalid_status`` if the status code is not one of HTTP.
     """
 
     def __init__(self, body: AnswerBody, account: BodyAccount) -> None:
@@ -86,11 +89,15 @@
         self.headers = HTTPHeaders()
         self.body = body
         self.is_complete = False
+        self.invalid_status: int | None = None
         self._account = account
 
     def headers_received(
         self, start_line: ResponseStartLine, headers: HTTPHeaders
     ) -> None:
+        if start_line.code not in VALID_STATUSES:
+            self.invalid_status = start_line.code
+            raise HTTPInputError(f"invalid status {start_line.code:03}")
         self.start_line = start_line
         self.headers = headers
 
@@ -214,9 +221,17 @@
                 "upstreams' answers",
                 sent=True,
             )
+        if reader.invalid_status is not None:
+            raise ExchangeError(
+                f"the answer has the status {reader.invalid_status:03}; "
+                "look at the upstream",
+                sent=True,
+            )
         if reader.start_line is None or not reader.is_complete:
             raise ExchangeError(
-                "the answer was cut short; look at the upstream", sent=True
+                "the answer was cut short or is not HTTP; "
+                "look at the upstream",
+                sent=True,
             )
         if not reader.is_framed and request.method != "HEAD":
             self._check_unframed(request)
