Bound what one client costs at every port

Cause: the readiness, directory, control and metrics ports kept any body, as they used a plain server. At the callers' port, memory and processor time of heads, small chunks, pipelined requests and unread answers had no limit.

Change: all ports use the bounded listener, and those that need no body accept none. The account of bodies counts heads too, knows all connections and ends those without progress, the costliest first when memory is short. Limits on fields, chunks, pipelining, the time of a head and connections are settings from the environment. Small bodies of requests have a reserved share of the memory.

--- a/src/gypsummount/_common/body_account.py
+++ b/src/gypsummount/_common/body_account.py
@@ -5,13 +5,19 @@
 from collections.abc import Callable
 from math import inf
 
+# Bodies of requests up to this size (bytes) may use the reserved share.
+SMALL_BODY_BYTES = 65_536
+# Fraction of the memory for bodies of requests that is reserved for them.
+RESERVED_FRACTION = 0.125
+
 
 class BodyAccount:
     """Counts the bytes of all bodies that the process holds.
 
     ``limit_bytes`` bounds them together.  Bodies of answers may use all of
     it, those of requests only ``request_fraction``, since a request can be
-    refused before it runs and an answer cannot.  ``dropped`` counts the
+    refused before it runs and an answer cannot.  A part of that is
+    reserved for the small bodies of ordinary callers.  ``dropped`` counts the
     answers that were given up for lack of memory.
     """
 
@@ -32,9 +38,14 @@
         self.dropped = 0
         self._receiving: dict[int, AnswerBody] = {}
 
-    def has_room_for_request(self, size: int) -> bool:
-        """Tell whether a request's body may take ``size`` more bytes."""
+    def has_room_for_request(self, size: int, total_size: int) -> bool:
+        """Tell whether a request's body may take ``size`` more bytes.
+
+        ``total_size`` is what the body has then.
+        """
         limit_bytes = self.limit_bytes * self.request_fraction
+        if total_size > SMALL_BODY_BYTES:
+            limit_bytes *= 1 - RESERVED_FRACTION
         return self.held_bytes + size <= limit_bytes
 
     def make_room_for_answer(self, body: AnswerBody, size: int) -> bool:
@@ -81,7 +92,7 @@
         missing = size - self._counted
         if missing <= 0:
             return True
-        if not self._account.has_room_for_request(missing):
+        if not self._account.has_room_for_request(missing, size):
             return False
         self._count(size)
         return True
--- a/src/gypsummount/_common/listener.py
+++ b/src/gypsummount/_common/listener.py
@@ -1,23 +1,29 @@
 """An HTTP server with a limit on open connections."""
 
+from collections import Counter
 from collections import OrderedDict
 from itertools import islice
 from socket import MSG_DONTWAIT
 from socket import MSG_PEEK
+from socket import socket
 from typing import final
 
 from tornado.http1connection import HTTP1Connection
-from tornado.http1connection import HTTP1ServerConnection
 from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPMessageDelegate
 from tornado.iostream import IOStream
 
-from gypsummount._common.body_account import BodyAccount
+from gypsummount._common.client_account import ClientAccount
+from gypsummount._common.client_session import ClientConnection
+from gypsummount._common.client_session import ClientSession
+from gypsummount._common.client_stream import ClientStream
+from gypsummount._common.client_stream import READ_BYTES
 from gypsummount._common.request_receiver import RequestHandler
 from gypsummount._common.request_receiver import RequestReceiver
 
 # Number of idle connections checked for one that can be closed.
 MAX_IDLE_CHECKS = 8
+# Connections with a request may exceed the limit by this factor.
+BUSY_FACTOR = 1.25
 
 
 @final
@@ -36,23 +42,32 @@
         handler: RequestHandler,
         *,
         max_connections: int,
-        account: BodyAccount,
+        account: ClientAccount,
         **options: object,
     ) -> None:
         """Set up the server.
 
-        ``account`` counts the bodies of requests.  ``options`` are passed
+        ``account`` counts what the clients cost.  ``options`` are passed
         to ``HTTPServer.initialize``.  Tornado calls this method instead of
         ``__init__``.
         """
-        super().initialize(handler.receive, **options)
+        super().initialize(
+            handler.receive,
+            chunk_size=READ_BYTES,
+            max_header_size=account.limits.head_bytes,
+            **options,
+        )
         self._handler = handler
         self._account = account
         self.idle_closed = 0
         self._max_connections = max_connections
-        self._streams: set[IOStream] = set()
+        self._max_of_address = account.limits.get_address_connections(
+            max_connections
+        )
+        self._streams: set[ClientStream] = set()
+        self._addresses: Counter[str] = Counter()
         self._receiving: set[HTTP1Connection] = set()
-        self._idle: OrderedDict[IOStream, None] = OrderedDict()
+        self._idle: OrderedDict[ClientStream, None] = OrderedDict()
 
     @property
     def open_connections(self) -> int:
@@ -65,41 +80,88 @@
             return True
         return any(stream.writing() for stream in self._streams)
 
-    def start_request(
-        self, server_conn: HTTP1ServerConnection, request_conn: HTTP1Connection
-    ) -> HTTPMessageDelegate:
-        """Return the delegate that receives the next request."""
-        return RequestReceiver(
-            self._handler, request_conn, self._receiving, self._account
-        )
+    def _handle_connection(self, connection: socket, address: tuple) -> None:
+        """Accept a connection, as tornado does with streams of its own."""
+        try:
+            stream = ClientStream(connection, self._account, str(address[0]))
+        except OSError:
+            connection.close()
+            return
+        self.handle_stream(stream, address)
 
-    def handle_stream(self, stream: IOStream, address: tuple) -> None:
-        """Serve a new connection, closing an idle one if over the limit."""
+    def handle_stream(self, stream: ClientStream, address: tuple) -> None:
+        """Serve a new connection, unless there are too many.
+
+        An idle one ends for it if possible.
+        """
         self._streams.add(stream)
-        if self.open_connections > self._max_connections:
-            self._close_idle()
+        self._addresses[stream.address] += 1
+        self._account.add_stream(stream)
+        self._make_room(stream)
         self.mark_idle(stream)
-        super().handle_stream(stream, address)
+        session = ClientSession(
+            stream,
+            self.conn_params,
+            self._account,
+            self._receive_request,
+            self._remove_session,
+        )
+        self._connections.add(session)
+        session.start()
+
+    def _receive_request(
+        self, connection: ClientConnection
+    ) -> RequestReceiver:
+        return RequestReceiver(
+            self._handler, connection, self._receiving, self._account
+        )
 
-    def on_close(self, server_conn: HTTP1ServerConnection) -> None:
+    def _remove_session(self, session: ClientSession) -> None:
         """Remove a closed connection from the counts."""
-        self._streams.discard(server_conn.stream)
-        self._idle.pop(server_conn.stream, None)
-        super().on_close(server_conn)
+        stream = session.stream
+        self._streams.discard(stream)
+        self._idle.pop(stream, None)
+        self._addresses[stream.address] -= 1
+        if not self._addresses[stream.address]:
+            del self._addresses[stream.address]
+        self._account.remove_stream(stream)
+        self._connections.discard(session)
+
+    def _make_room(self, stream: ClientStream) -> None:
+        """Close a connection if there are too many, at worst the new one."""
+        held = self._addresses[stream.address]
+        is_address_over = held > self._max_of_address
+        if not is_address_over and len(self._streams) <= self._max_connections:
+            return
+        if self._close_idle(stream.address if is_address_over else None):
+            return
+        if held > self._max_of_address * BUSY_FACTOR:
+            self._account.close_stream(stream, "address")
+        elif len(self._streams) > self._max_connections * BUSY_FACTOR:
+            self._account.close_stream(stream, "connections")
 
-    def mark_busy(self, stream: IOStream) -> None:
+    def mark_busy(self, stream: ClientStream) -> None:
         """Mark a connection as serving a request, so that it stays open."""
         self._idle.pop(stream, None)
 
-    def mark_idle(self, stream: IOStream) -> None:
+    def mark_idle(self, stream: ClientStream) -> None:
         """Mark an open connection as the most recent idle one."""
         if not stream.closed():
             self._idle[stream] = None
             self._idle.move_to_end(stream)
 
-    def _close_idle(self) -> None:
-        """Close the longest idle connection without a pending request."""
-        for stream in list(islice(self._idle, MAX_IDLE_CHECKS)):
+    def _close_idle(self, address: str | None) -> bool:
+        """Close the longest idle connection without a pending request.
+
+        ``address`` restricts that to connections of one address.  Return
+        whether there was one.
+        """
+        idle = (
+            stream
+            for stream in self._idle
+            if address is None or stream.address == address
+        )
+        for stream in list(islice(idle, MAX_IDLE_CHECKS)):
             if stream.closed():
                 del self._idle[stream]
                 continue
@@ -108,7 +170,8 @@
                 continue
             self.idle_closed += 1
             stream.close()
-            return
+            return True
+        return False
 
 
 def _awaits_request(stream: IOStream) -> bool:
--- a/src/gypsummount/_common/logs.py
+++ b/src/gypsummount/_common/logs.py
@@ -67,3 +67,5 @@
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
     logging.getLogger("tornado.access").setLevel(logging.ERROR)
+    # At the level of information, it has a line for each malformed message.
+    logging.getLogger("tornado.general").setLevel(logging.WARNING)
--- a/src/gypsummount/_common/request_receiver.py
+++ b/src/gypsummount/_common/request_receiver.py
@@ -4,14 +4,19 @@
 from abc import abstractmethod
 from typing import final
 
-from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders
 from tornado.httputil import HTTPMessageDelegate
 from tornado.httputil import HTTPServerRequest
 from tornado.httputil import RequestStartLine
 
 from gypsummount._common.body_account import Body
-from gypsummount._common.body_account import BodyAccount
+from gypsummount._common.client_account import ClientAccount
+from gypsummount._common.client_session import ClientConnection
+
+# Digits of a length that are read; longer ones are over every limit.
+MAX_LENGTH_DIGITS = 18
+# Heads that need less memory than this are not counted.
+MIN_COUNTED_HEAD_BYTES = 32_768
 
 
 class RequestHandler(ABC):
@@ -43,6 +48,7 @@
         "_body",
         "_connection",
         "_handler",
+        "_head",
         "_is_refused",
         "_receiving",
         "_request",
@@ -51,9 +57,9 @@
     def __init__(
         self,
         handler: RequestHandler,
-        connection: HTTP1Connection,
-        receiving: set[HTTP1Connection],
-        account: BodyAccount,
+        connection: ClientConnection,
+        receiving: set[ClientConnection],
+        account: ClientAccount,
     ) -> None:
         self._handler = handler
         self._connection = connection
@@ -61,6 +67,7 @@
         self._account = account
         self._request: HTTPServerRequest | None = None
         self._body: Body | None = None
+        self._head: Body | None = None
         self._is_refused = False
 
     def headers_received(
@@ -73,8 +80,12 @@
         self._receiving.add(self._connection)
         # Tornado checks the length itself, after this call.
         length = headers.get("Content-Length", "")
-        if length.isdecimal():
-            self._reserve(int(length))
+        size = 0
+        if length.isdecimal() and len(length) <= MAX_LENGTH_DIGITS:
+            size = int(length)
+        self._reserve_head()
+        if not self._is_refused:
+            self._reserve(size)
 
     def data_received(self, chunk: bytes) -> None:
         """Add a part of the body."""
@@ -87,20 +98,35 @@
 
     def finish(self) -> None:
         """Hand over the complete request."""
-        self._receiving.discard(self._connection)
+        self._end_body()
         if self._is_refused:
             self._connection.finish()
             return
         request = self._request
         if self._body is not None:
             request.body = self._body
-        self._request = self._body = None
+        # The memory of the head counts as long as the request lives.
+        request.head_memory = self._head
+        self._request = self._body = self._head = None
         self._handler.receive(request)
 
     def on_connection_close(self) -> None:
         """Drop a request that will not become complete."""
+        self._end_body()
+        self._request = self._body = self._head = None
+
+    def _end_body(self) -> None:
         self._receiving.discard(self._connection)
-        self._request = self._body = None
+        self._connection.stream.is_reading_body = False
+
+    def _reserve_head(self) -> None:
+        """Reserve memory for a large head; without it, refuse."""
+        cost = self._connection.head_cost
+        if cost < MIN_COUNTED_HEAD_BYTES:
+            return
+        self._head = Body(self._account)
+        if not self._head.try_reserve(cost):
+            self._refuse()
 
     def _reserve(self, size: int) -> None:
         """Reserve memory for the whole body; without it, refuse."""
@@ -109,7 +135,11 @@
         if self._body is None:
             self._body = Body(self._account)
         if self._body.try_reserve(size):
+            self._connection.stream.body_bytes = size
             return
-        self._body = None
+        self._refuse()
+
+    def _refuse(self) -> None:
+        self._body = self._head = None
         self._is_refused = True
         self._handler.refuse_body(self._request)
--- a/src/gypsummount/_common/request_server.py
+++ b/src/gypsummount/_common/request_server.py
@@ -9,7 +9,7 @@
 from tornado.httputil import HTTPServerRequest
 from tornado.iostream import IOStream
 
-from gypsummount._common.body_account import BodyAccount
+from gypsummount._common.client_account import ClientAccount
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.disconnects import CallerConnection
 from gypsummount._common.disconnects import find_disconnected
@@ -35,7 +35,7 @@
         max_body_bytes: int,
         loop_timer: LoopTimer | None = None,
         max_connections: int = MAX_CONNECTIONS,
-        account: BodyAccount | None = None,
+        account: ClientAccount | None = None,
     ) -> None:
         self._loop_timer = loop_timer or LoopTimer()
         self._running: dict[Task[None], IOStream] = {}
@@ -43,7 +43,7 @@
         self._server = Listener(
             self,
             max_connections=max_connections,
-            account=account or BodyAccount(),
+            account=account or ClientAccount(),
             max_body_size=max_body_bytes,
             idle_connection_timeout=IDLE_TIMEOUT_S,
         )
--- a/src/gypsummount/_edge/front.py
+++ b/src/gypsummount/_edge/front.py
@@ -10,7 +10,7 @@
 from tornado.httputil import ResponseStartLine
 from tornado.iostream import StreamClosedError
 
-from gypsummount._common.body_account import BodyAccount
+from gypsummount._common.client_account import ClientAccount
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.disconnects import CallerConnection
 from gypsummount._common.loop_timer import LoopTimer
@@ -50,7 +50,7 @@
         decisions: DecisionLog,
         loop_timer: LoopTimer | None = None,
         max_connections: int = MAX_CONNECTIONS,
-        account: BodyAccount | None = None,
+        account: ClientAccount | None = None,
     ) -> None:
         super().__init__(MAX_BODY_BYTES, loop_timer, max_connections, account)
         self._proxy = proxy
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -6,7 +6,8 @@
 from random import Random
 from time import time
 
-from gypsummount._common.body_account import BodyAccount
+from gypsummount._common.client_account import CHECK_PERIOD_S
+from gypsummount._common.client_account import ClientAccount
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.logs import get_logger
 from gypsummount._common.loop_timer import LoopTimer
@@ -95,21 +96,25 @@
         self.peers = Peers(settings.region, settings.domain)
         self._fleet_state = FleetState(settings, self.replica, self.peers)
         self._prober = Prober(self.replica, wire, settings.region)
-        self._bodies = BodyAccount(
-            settings.max_body_bytes, REQUEST_BODY_FRACTION
+        self.clients = ClientAccount(
+            settings.max_body_bytes,
+            REQUEST_BODY_FRACTION,
+            settings.client_limits,
         )
         self._selection = Selection(
             self.replica,
             settings.region,
             settings.regions,
             self._prober,
-            self._bodies,
+            self.clients,
         )
         self._quotas = QuotaShares(INITIAL_RATE_SHARE)
         self._retry_budgets = RetryBudgets()
         self._rollouts = Rollouts(settings.instance, self.replica, feed)
         self._store_reader = StoreReader(feed, self.replica, random)
-        self._records = RecordServer(self.replica, self._incarnation)
+        self._records = RecordServer(
+            self.replica, self._incarnation, self.clients
+        )
         self._sources = Sources(settings)
         self._follower = Follower(
             settings, self.replica, self._store_reader, self._sources
@@ -155,7 +160,7 @@
             DecisionLog(self.replica, self.metrics),
             self._loop_timer,
             settings.max_connections,
-            self._bodies,
+            self.clients,
         )
         self._status = EdgeStatus(
             self.metrics,
@@ -166,7 +171,7 @@
             self._store_reader,
             self._gossip,
             self._tokens,
-            self._bodies,
+            self.clients,
         )
 
     @property
@@ -252,6 +257,7 @@
             (self._lag_repair.catch_up, REFRESH_INTERVAL_S, "catching up"),
             (self._drive_rollouts, ROLLOUT_INTERVAL_S, "rollouts"),
             (self._renew_proof, PROOF_INTERVAL_S, "proof"),
+            (self.clients.check, CHECK_PERIOD_S, "clients"),
         )
         for step, period_s, name in steps:
             start_task(stack, run_periodically(step, period_s, name), name)
--- a/src/gypsummount/_edge/record_server.py
+++ b/src/gypsummount/_edge/record_server.py
@@ -8,6 +8,7 @@
 from tornado.httputil import HTTPServerRequest
 from tornado.iostream import StreamClosedError
 
+from gypsummount._common.client_account import ClientAccount
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.logs import get_logger
 from gypsummount._common.request_server import RequestServer
@@ -20,7 +21,6 @@
 RECORDS_PATH = "/v1/records"
 MAX_WAIT_S = 5.0
 BATCH_DELAY_S = 0.02
-MAX_BODY_BYTES = 1024
 
 _log = get_logger("sharing")
 
@@ -37,8 +37,13 @@
     copy encoded as compressed JSON.
     """
 
-    def __init__(self, replica: Replica, incarnation: int) -> None:
-        super().__init__(MAX_BODY_BYTES)
+    def __init__(
+        self,
+        replica: Replica,
+        incarnation: int,
+        account: ClientAccount | None = None,
+    ) -> None:
+        super().__init__(max_body_bytes=0, account=account)
         self._replica = replica
         self._incarnation = incarnation
         self._changed = Event()
--- a/src/gypsummount/_edge/settings.py
+++ b/src/gypsummount/_edge/settings.py
@@ -3,11 +3,15 @@
 from dataclasses import dataclass
 from math import inf
 
+from gypsummount._common.client_limits import ClientLimits
+
 PROOF_MARGIN_S = 1.2
 DEFAULT_CONFIG_APPLY_S = 2.5
 DEFAULT_DESCRIPTORS = 4096
 # The other file descriptors are for upstreams, peers and the store.
 CALLER_FRACTION = 0.5
+# Each of the readiness, directory, control and metrics ports has this part.
+AUXILIARY_FRACTION = 1 / 16
 # Memory of a process that holds no bodies, with its connections.
 BASE_MEMORY_BYTES = 80_000_000
 # Fraction of the other memory that bodies may use; the allocator and the
@@ -47,7 +51,7 @@
     IPs of instances to contact first.  ``descriptors`` is the number of
     file descriptors that the process may open, ``capacity`` its share of
     the processor (cores), and ``memory_bytes`` the memory that it may use,
-    0 without a limit.
+    0 without a limit.  ``client_limits`` bound what one client costs.
     """
 
     instance: str
@@ -65,12 +69,18 @@
     descriptors: int = DEFAULT_DESCRIPTORS
     capacity: float = 0.0
     memory_bytes: int = 0
+    client_limits: ClientLimits = ClientLimits()
 
     @property
     def max_connections(self) -> int:
         """Return the maximum number of open connections of callers."""
         return int(self.descriptors * CALLER_FRACTION)
 
+    @property
+    def max_auxiliary_connections(self) -> int:
+        """Return the maximum number of connections of an auxiliary port."""
+        return int(self.descriptors * AUXILIARY_FRACTION)
+
     @property
     def max_body_bytes(self) -> float:
         """Return how many bytes all bodies in memory may have together."""
--- a/src/gypsummount/_edge/status.py
+++ b/src/gypsummount/_edge/status.py
@@ -1,6 +1,6 @@
 """Metrics of an edge process and warnings about its delays."""
 
-from gypsummount._common.body_account import BodyAccount
+from gypsummount._common.client_account import ClientAccount
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.logs import get_logger
 from gypsummount._common.loop_timer import LoopTimer
@@ -33,9 +33,9 @@
         store_reader: StoreReader,
         gossip: Gossip,
         tokens: Tokens,
-        bodies: BodyAccount,
+        clients: ClientAccount,
     ) -> None:
-        self._bodies = bodies
+        self._clients = clients
         self._metrics = metrics
         self._loop_timer = loop_timer
         self._front = front
@@ -56,8 +56,8 @@
             "callers_left_unread": float(front.disconnected_unread),
             "connections_ended_idle": float(front.idle_closed),
             "connections_open": float(front.connections),
-            "body_bytes_held": float(self._bodies.held_bytes),
-            "answers_dropped": float(self._bodies.dropped),
+            "body_bytes_held": float(self._clients.held_bytes),
+            "answers_dropped": float(self._clients.dropped),
             "round_seconds": self._loop_timer.span_s,
             "peers_live": float(len(self._peers.list_live(now))),
             "store_connected": float(self._store_reader.contact.is_connected),
@@ -70,6 +70,9 @@
             "workspaces_owned": float(self._tokens.count_owned()),
             "token_requests_unanswered": float(self._tokens.unanswered),
         }
+        gauges["head_bytes_held"] = float(self._clients.head_bytes)
+        for reason, count in sorted(self._clients.closed.items()):
+            gauges[f"clients_closed_{reason}"] = float(count)
         return write_exposition(self._metrics, gauges, now)
 
     def log_delay(self, delay_s: float) -> None:
--- a/src/gypsummount/platform/auxiliary_servers.py
+++ b/src/gypsummount/platform/auxiliary_servers.py
@@ -1,10 +1,11 @@
 """The readiness, directory and metrics endpoints for the platform."""
 
+from collections.abc import Callable
 from json import dumps
 
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPServerRequest
 
+from gypsummount._common.request_server import RequestServer
 from gypsummount._common.sockets import bind_address
 from gypsummount._edge.digests import SERVING
 from gypsummount._edge.directory import list_addresses
@@ -17,6 +18,32 @@
 METRICS_PATH = "/metrics"
 
 
+class AuxiliaryServer(RequestServer):
+    """Answers requests without a body, each at once."""
+
+    def __init__(
+        self,
+        process: EdgeProcess,
+        max_connections: int,
+        answer: Callable[[HTTPServerRequest], None],
+    ) -> None:
+        super().__init__(
+            max_body_bytes=0,
+            max_connections=max_connections,
+            account=process.clients,
+        )
+        self._answer = answer
+
+    def _answer_at_once(self, request: HTTPServerRequest) -> bool:
+        self._answer(request)
+        return True
+
+    async def _serve(
+        self, request: HTTPServerRequest, arrived_at: float
+    ) -> None:
+        """Do nothing, as every request was answered at once."""
+
+
 class AuxiliaryServers:
     """HTTP servers for readiness, directory and metrics.
 
@@ -30,7 +57,7 @@
         self._process = process
         self._settings = settings
         self._metrics_port = metrics_port
-        self._servers: list[HTTPServer] = []
+        self._servers: list[AuxiliaryServer] = []
 
     def listen(self) -> None:
         """Start accepting connections on every configured address.
@@ -46,15 +73,18 @@
         addresses.add(f"{settings.host}:{self._metrics_port}")
         # The control address is empty if the settings file has none.
         for address in addresses - {""}:
-            server = HTTPServer(self._receive)
-            server.add_sockets(bind_address("listen", address))
+            server = AuxiliaryServer(
+                self._process,
+                settings.max_auxiliary_connections,
+                self._receive,
+            )
+            server.listen(bind_address("listen", address))
             self._servers.append(server)
 
     async def close(self) -> None:
         """Stop all servers and close their connections."""
         for server in self._servers:
-            server.stop()
-            await server.close_all_connections()
+            await server.close()
 
     def _receive(self, request: HTTPServerRequest) -> None:
         if request.path == READY_PATH:
--- a/src/gypsummount/platform/settings.py
+++ b/src/gypsummount/platform/settings.py
@@ -10,6 +10,7 @@
 from gypsummount._edge.settings import EdgeBounds
 from gypsummount._edge.settings import EdgeSettings
 from gypsummount.errors import SettingError
+from gypsummount.platform.client_limits import read_client_limits
 
 SETTINGS_PATH_VARIABLE = "GYPSUMMOUNT_BOOT"
 METRICS_PORT_VARIABLE = "GYPSUMMOUNT_METRICS_PORT"
@@ -58,8 +59,8 @@
 def read_settings(path: Path) -> PlatformSettings:
     """Return the settings from a JSON file.
 
-    :raises SettingError: when the file cannot be read, or a field is
-        missing or of the wrong type.
+    :raises SettingError: when the file cannot be read, a field is missing
+        or of the wrong type, or a limit of clients is out of range.
     """
     try:
         return _decode(loads(path.read_text(encoding="utf-8")))
@@ -103,6 +104,7 @@
         descriptors=int(limits.get("fileDescriptors") or DEFAULT_DESCRIPTORS),
         capacity=_read_capacity(limits),
         memory_bytes=int(float(limits.get("memoryMb") or 0) * BYTES_PER_MB),
+        client_limits=read_client_limits(),
     )
     return PlatformSettings(edge, raw["platform"]["address"])
 
