--- a/src/gypsummount/_common/client_session.py
+++ b/src/gypsummount/_common/client_session.py
@@ -32,7 +32,8 @@
 class ClientConnection(HTTP1Connection):
     """One request of a client and its answer.
 
-    ``head_cost`` is the memory (bytes) that the parsed head needs.
+    ``head_cost`` is the memory (bytes) that the parsed head needs, and
+    ``is_pipelined`` tells that bytes followed the request before its answer.
     """
 
     def __init__(
@@ -44,6 +45,18 @@
         super().__init__(stream, False, parameters)
         self._account = account
         self.head_cost = 0
+        self.is_pipelined = False
+
+    def finish(self) -> None:
+        """End the answer, and note whether a request came before it.
+
+        Bytes that arrive after the answer was written are not pipelined.
+        """
+        # Tornado has no public API for the bytes in its read buffer.
+        self.is_pipelined = (
+            self._read_finished and self.stream._read_buffer_size > 0
+        )
+        super().finish()
 
     def _parse_headers(self, data: bytes) -> tuple[str, HTTPHeaders]:
         """Parse a head, unless it has too many fields."""
@@ -93,9 +106,6 @@
         try:
             while await self._serve_request():
                 await sleep(0)
-                if not self._may_continue():
-                    self._account.close_stream(self.stream, "pipelined")
-                    return
         except (CancelledError, StreamClosedError, UnsatisfiableReadError):
             return
         except Exception:
@@ -111,13 +121,15 @@
             self.stream, self._parameters, self._account
         )
         delegate = self._start_request(connection)
-        return await connection.read_response(delegate)
+        is_open = await connection.read_response(delegate)
+        self._count_pipelined(connection)
+        return is_open
 
-    def _may_continue(self) -> bool:
-        """Count requests that came before the last one was answered."""
-        # Tornado has no public API for the bytes in its read buffer.
-        if self.stream._read_buffer_size:
+    def _count_pipelined(self, connection: ClientConnection) -> None:
+        """End a connection on which too many requests are pipelined."""
+        if connection.is_pipelined:
             self._pipelined += 1
-        else:
-            self._pipelined = max(0, self._pipelined - 1)
-        return self._pipelined <= self._account.limits.pipelined
+        elif self._pipelined:
+            self._pipelined -= 1
+        if self._pipelined > self._account.limits.pipelined:
+            self._account.close_stream(self.stream, "pipelined")
--- a/src/gypsummount/_common/request_receiver.py
+++ b/src/gypsummount/_common/request_receiver.py
@@ -135,7 +135,8 @@
         if self._body is None:
             self._body = Body(self._account)
         if self._body.try_reserve(size):
-            self._connection.stream.body_bytes = size
+            stream = self._connection.stream
+            stream.body_bytes = max(stream.body_bytes, size)
             return
         self._refuse()
 
