--- a/src/gypsummount/_common/client_account.py
+++ b/src/gypsummount/_common/client_account.py
@@ -88,7 +88,9 @@
             self.remove_stream(largest)
 
     def close_stream(self, stream: ClientStream, reason: str) -> None:
-        """Close a connection because of a limit."""
+        """Close a connection because of a limit, unless it is closed."""
+        if stream.closed():
+            return
         self.count_closed(reason)
         if self._lines.try_take(read_monotonic()):
             _log.warning(
@@ -113,7 +115,7 @@
         self._checked_at = now
         is_late = elapsed_s > MAX_CHECK_INTERVAL_S
         stalled = []
-        for stream in list(self.streams):
+        for stream in [one for one in self.streams if not one.closed()]:
             self._check_progress(stream, now, elapsed_s, is_late=is_late)
             if stream.stalled_since is None:
                 continue
--- a/src/gypsummount/_common/client_stream.py
+++ b/src/gypsummount/_common/client_stream.py
@@ -60,9 +60,10 @@
     def cost_bytes(self) -> int:
         """Return the memory that this connection uses."""
         # Tornado has no public API for the sizes of its buffers.
-        return (
-            self._read_buffer_size + self.body_bytes + len(self._write_buffer)
-        )
+        if self.closed():
+            return 0
+        unread = len(self._write_buffer)
+        return self._read_buffer_size + self.body_bytes + unread
 
     @property
     def is_transferring(self) -> bool:
--- a/tests/common/test_body_account.py
+++ b/tests/common/test_body_account.py
@@ -73,3 +73,10 @@
         other = self.receive(account, 30, [])
         assert not account.make_room_for_answer(other, 20)
         assert len(complete) == 60
+
+    def test_large_requests_leave_room_for_small_ones(self):
+        """Guards against large uploads that shut out ordinary callers."""
+        account = BodyAccount(limit_bytes=1_000_000, request_fraction=0.8)
+        large = [Body(account) for _ in range(8)]
+        assert sum(body.try_reserve(100_000) for body in large) == 7
+        assert Body(account).try_reserve(60_000)
--- a/tests/common/test_client_limits.py
+++ b/tests/common/test_client_limits.py
@@ -31,7 +31,7 @@
 
 
 class _Server(RequestServer):
-    """Answers each request at once, with the body that it received."""
+    """Answers each request in a task."""
 
     def __init__(self, account):
         super().__init__(1_000_000, account=account)
@@ -40,6 +40,9 @@
         self.pause_s = 0.0
 
     def _answer_at_once(self, request):
+        return False
+
+    async def _serve(self, request, arrived_at):
         self.answered += 1
         headers = HTTPHeaders({"Content-Length": str(len(self.answer))})
         line = ResponseStartLine("HTTP/1.1", 200, "OK")
@@ -47,10 +50,6 @@
         request.connection.finish()
         # A busy process reads the next request late.
         time.sleep(self.pause_s)
-        return True
-
-    async def _serve(self, request, arrived_at):
-        raise AssertionError
 
 
 class Running:
--- a/tests/platform/test_client_limits.py
+++ b/tests/platform/test_client_limits.py
@@ -175,3 +175,18 @@
         assert result == 200
         assert read_peak_mb(process) < MAX_PEAK_MB
         assert descriptors < MAX_DESCRIPTORS
+
+
+class TestPortsWithoutBodies:
+    @pytest.mark.parametrize("framing", ["Content-Length: 1", CHUNKED])
+    async def test_body_is_refused(self, instance, framing):
+        """Guards against bodies at ports that have no use for them."""
+        lines = []
+        for port in ("ready", "directory", "control", "metrics", "peer"):
+            reader, writer = await open_connection(
+                "127.0.0.2", getattr(instance.ports, port)
+            )
+            writer.write(build_head("b", 5000, framing) + b"1\r\nx\r\n")
+            lines.append(await reader.readline())
+            writer.close()
+        assert lines == [b"HTTP/1.1 400 Bad Request\r\n"] * 5
