--- a/src/gypsummount/_common/client_account.py
+++ b/src/gypsummount/_common/client_account.py
@@ -26,6 +26,8 @@
 MIN_HEAD_BYTES = 2_000_000
 MAX_HEAD_BYTES = 64_000_000
 LOGGED_PER_S = 1.0
+# Rate at which all refused bodies together are read and discarded.
+DISCARDED_BYTES_PER_S = 100_000_000
 
 _log = get_logger("clients")
 
@@ -34,13 +36,15 @@
 class ClientAccount(BodyAccount):
     """Counts heads, bodies and unread answers by connection and in all.
 
-    ``closed`` counts the connections that a limit ended, by its name.
+    ``closed`` counts the connections that a limit ended, by its name, and
+    ``discarding`` the refused bodies that are still being received.
     """
 
     __slots__ = (
         "_checked_at",
         "_lines",
         "closed",
+        "discarding",
         "head_bytes",
         "limits",
         "max_head_bytes",
@@ -58,6 +62,7 @@
         self.closed: Counter[str] = Counter()
         self.streams: set[ClientStream] = set()
         self.head_bytes = 0
+        self.discarding = 0
         self.max_head_bytes = min(
             MAX_HEAD_BYTES, max(MIN_HEAD_BYTES, limit_bytes * HEAD_FRACTION)
         )
@@ -87,6 +92,10 @@
             self.close_stream(largest, "heads")
             self.remove_stream(largest)
 
+    def compute_discard_delay(self, size: int) -> float:
+        """Return how long (s) to wait after discarding ``size`` bytes."""
+        return size * self.discarding / DISCARDED_BYTES_PER_S
+
     def close_stream(self, stream: ClientStream, reason: str) -> None:
         """Close a connection because of a limit, unless it is closed."""
         if stream.closed():
--- a/src/gypsummount/_common/client_limits.py
+++ b/src/gypsummount/_common/client_limits.py
@@ -23,7 +23,7 @@
     stall_s: float = 10.0
     free_chunks: int = 256
     chunk_bytes: int = 256
-    pipelined: int = 32
+    pipelined: int = 8
     address_connections: int = 0
 
     def get_address_connections(self, max_connections: int) -> int:
--- a/src/gypsummount/_common/request_receiver.py
+++ b/src/gypsummount/_common/request_receiver.py
@@ -2,6 +2,8 @@
 
 from abc import ABC
 from abc import abstractmethod
+from asyncio import sleep
+from collections.abc import Awaitable
 from typing import final
 
 from tornado.httputil import HTTPHeaders
@@ -87,14 +89,15 @@
         if not self._is_refused:
             self._reserve(size)
 
-    def data_received(self, chunk: bytes) -> None:
-        """Add a part of the body."""
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Add a part of the body, or discard it slowly if it is refused."""
         if self._is_refused:
-            return
+            return sleep(self._account.compute_discard_delay(len(chunk)))
         received = len(self._body) if self._body is not None else 0
         self._reserve(received + len(chunk))
         if self._body is not None:
             self._body.append_bytes(chunk)
+        return None
 
     def finish(self) -> None:
         """Hand over the complete request."""
@@ -116,6 +119,8 @@
         self._request = self._body = self._head = None
 
     def _end_body(self) -> None:
+        if self._is_refused and self._connection in self._receiving:
+            self._account.discarding -= 1
         self._receiving.discard(self._connection)
         self._connection.stream.is_reading_body = False
 
@@ -143,4 +148,5 @@
     def _refuse(self) -> None:
         self._body = self._head = None
         self._is_refused = True
+        self._account.discarding += 1
         self._handler.refuse_body(self._request)
--- a/tests/common/test_client_limits.py
+++ b/tests/common/test_client_limits.py
@@ -140,6 +140,20 @@
         assert (account.head_bytes, account.held_bytes) == (0, 0)
         assert not account.streams
 
+    async def test_refused_body_is_read_to_its_end(self):
+        """Guards against refusals that a reset destroys, and miscounts."""
+        async with AsyncExitStack() as stack:
+            running = Running(stack, 10_000)
+            running.server.refuse_body = lambda request: None
+            clients = [running.connect(UPLOAD) for _ in range(3)]
+            await sleep(0.1)
+            assert running.account.discarding == 3
+            for client in clients[1:]:
+                client.sendall(b"x" * 100_000)
+            clients[0].close()
+            await running.check(0.3)
+            assert running.account.discarding == 0
+
 
 class TestLimits:
     async def test_head_with_too_many_fields_is_refused(self, running):
@@ -210,3 +224,9 @@
             await sleep(0.1)
             assert running.account.closed["costly"] == 1
             assert running.account.held_bytes == 40_000
+
+    async def test_refused_bodies_share_a_rate(self, running):
+        """Guards against refused uploads that take all processor time."""
+        account = running.account
+        account.discarding = 10
+        assert account.compute_discard_delay(1_000_000) == pytest.approx(0.1)
