Keep uploads that make progress when connections are short

Cause: a connection whose body was being received counted as idle, and could end when there were too many.

Change: only bodies without progress can be ended for that. An address over its limit ends its own connections, which a test now holds. The soak of stops includes wasteful clients.

--- a/src/gypsummount/_common/listener.py
+++ b/src/gypsummount/_common/listener.py
@@ -10,7 +10,6 @@
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
-from tornado.iostream import IOStream
 
 from gypsummount._common.client_account import ClientAccount
 from gypsummount._common.client_session import ClientConnection
@@ -174,10 +173,15 @@
         return False
 
 
-def _awaits_request(stream: IOStream) -> bool:
-    """Return whether no byte of a request has arrived, read or unread."""
+def _awaits_request(stream: ClientStream) -> bool:
+    """Return whether no complete head and no unread byte has arrived.
+
+    A body without progress counts as nothing, so that it can be closed.
+    """
     if not stream.reading():
         return False
+    if stream.is_reading_body and stream.stalled_since is None:
+        return False
     try:
         return not stream.socket.recv(1, MSG_PEEK | MSG_DONTWAIT)
     except OSError:
--- a/tests/common/test_client_limits.py
+++ b/tests/common/test_client_limits.py
@@ -230,3 +230,21 @@
         account = running.account
         account.discarding = 10
         assert account.compute_discard_delay(1_000_000) == pytest.approx(0.1)
+
+
+class TestAddresses:
+    async def test_address_ends_its_own_connections(self):
+        """Guards against one address that takes the place of others."""
+        async with AsyncExitStack() as stack:
+            running = Running(stack, 1e9)
+            server = running.server
+            server._server._max_of_address = 4
+            clients = [running.connect(UPLOAD) for _ in range(4)]
+            await sleep(0.1)
+            clients += [running.connect(UPLOAD) for _ in range(3)]
+            await sleep(0.1)
+            assert server.connections == 5
+            assert running.account.closed["address"] == 2
+            clients[0].sendall(b"x" * 100_000)
+            await sleep(0.2)
+            assert server.answered == 1
--- a/tests/platform/stop_trials.py
+++ b/tests/platform/stop_trials.py
@@ -6,6 +6,7 @@
 from random import Random
 from signal import SIGHUP
 from signal import SIGTERM
+import socket
 
 from gypsummount._common.clocks import read_monotonic
 from tests.common.pooled_callers import list_lost
@@ -14,6 +15,7 @@
 from tests.platform.doubles import build_config
 from tests.platform.doubles import build_server
 from tests.platform.heads import build_head
+from tests.platform.test_client_limits import CROWDS
 
 CALLERS = 30
 CONNECTIONS = 8
@@ -24,6 +26,8 @@
 # Servers count as cold for this time (s) after they are first seen.
 COLD_S = 3.5
 GRACE_S = 6.0
+# Wasteful clients of each kind.
+WASTEFUL_CLIENTS = 3
 # Time under load before the stop (s).
 LEAD_S = 0.5
 
@@ -36,6 +40,7 @@
         self.random = Random(seed)
         self.callers = []
         self.process = instance.processes[1]
+        self.wasteful = []
 
     async def prepare(self):
         instance = self.instance
@@ -79,6 +84,8 @@
             await sleep(0.02)
         took_s = read_monotonic() - began
         await gather(*tasks)
+        for client in self.wasteful:
+            client.close()
         return took_s
 
     async def _disturb(self, disturbance):
@@ -93,6 +100,20 @@
         if self.process.poll() is None:
             self.process.send_signal(SIGTERM)
 
+    def waste(self):
+        """Send what wasteful clients of all kinds send, once."""
+        for crowd in CROWDS.values():
+            port = getattr(self.instance.ports, crowd.port)
+            for _ in range(WASTEFUL_CLIENTS):
+                client = socket.socket()
+                self.wasteful.append(client)
+                try:
+                    client.connect(("127.0.0.2", port))
+                    client.setblocking(False)
+                    client.send(crowd.data())
+                except OSError:
+                    continue
+
     def lose_store(self):
         self.instance.store.is_down = True
 
--- a/tests/platform/test_stop_soak.py
+++ b/tests/platform/test_stop_soak.py
@@ -20,6 +20,7 @@
     StopTrial.lose_store,
     StopTrial.fill_server,
     StopTrial.drain_server,
+    StopTrial.waste,
 )
 
 
@@ -50,3 +51,8 @@
         count = random.randint(1, len(DISTURBANCES))
         chosen = random.sample(DISTURBANCES, count)
         assert 503 in await run_trial(instance, seed, chosen)
+
+    @pytest.mark.parametrize("seed", range(SEEDS))
+    async def test_wasteful_clients_cut_no_request(self, instance, seed):
+        """Guards against a stop that wasteful clients hold up or cut."""
+        assert 503 in await run_trial(instance, seed, [StopTrial.waste])
