--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -5,7 +5,8 @@
 from random import Random
 from time import time
 
-from gypsummount._common.body_account import BodyAccount
+from gypsummount._common.client_account import CHECK_PERIOD_S
+from gypsummount._common.client_account import ClientAccount
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.logs import get_logger
 from gypsummount._common.loop_timer import LoopTimer
@@ -95,15 +96,17 @@
         self._isolation = Isolation(self.replica, self.peers)
         self._fleet_state = FleetState(settings, self.replica, self.peers)
         self._prober = Prober(self.replica, wire, settings.region)
-        self._bodies = BodyAccount(
-            settings.max_body_bytes, REQUEST_BODY_FRACTION
+        self.clients = ClientAccount(
+            settings.max_body_bytes,
+            REQUEST_BODY_FRACTION,
+            settings.client_limits,
         )
         self._selection = Selection(
             self.replica,
             settings.region,
             settings.regions,
             self._prober,
-            self._bodies,
+            self.clients,
         )
         self._quotas = QuotaShares(INITIAL_RATE_SHARE)
         self._retry_budgets = RetryBudgets()
@@ -115,7 +118,9 @@
             InstanceRecord(settings.instance, settings.host),
             random,
         )
-        self._records = RecordServer(self.replica, self._incarnation)
+        self._records = RecordServer(
+            self.replica, self._incarnation, self.clients
+        )
         self._sources = Sources(settings)
         self._follower = Follower(
             settings, self.replica, self._store_reader, self._sources
@@ -173,7 +178,7 @@
             DecisionLog(self.replica, self.metrics),
             self._loop_timer,
             settings.max_connections,
-            self._bodies,
+            self.clients,
         )
         self._status = EdgeStatus(
             self.metrics,
@@ -184,7 +189,7 @@
             self._store_reader,
             self._gossip,
             self._tokens,
-            self._bodies,
+            self.clients,
             self.duties,
             self._usage,
         )
@@ -277,6 +282,7 @@
             (self._lag_repair.catch_up, REFRESH_INTERVAL_S, "catching up"),
             (self._drive_rollouts, ROLLOUT_INTERVAL_S, "rollouts"),
             (self._renew_proof, PROOF_INTERVAL_S, "proof"),
+            (self.clients.check, CHECK_PERIOD_S, "clients"),
         )
         for step, period_s, name in steps:
             start_task(stack, run_periodically(step, period_s, name), name)
