Select upstreams by a dispatcher in grouped fleets

Instances that select by themselves see loads that are up to a second old, so their upstreams fill while slots elsewhere are idle (plan, part 4c). One instance of a region now selects for all of it, for services whose upstreams state their speed. Asks, answers and releases are datagrams; grants have leases; whoever gets no answer selects by itself as before.

--- a/src/gypsummount/_core/slow_start.py
+++ b/src/gypsummount/_core/slow_start.py
@@ -26,12 +26,19 @@
     own: str
     by_region: dict[str, tuple[str, ...]] = field(default_factory=dict)
 
-    def compute_rate_limit(self, region: str, seed: int, rate: float) -> float:
+    def compute_rate_limit(
+        self, region: str, seed: int, rate: float, sender: str = ""
+    ) -> float:
         """Return this instance's part of a cold upstream's rate (1/s).
 
         ``region`` and ``seed`` are the upstream's, and ``rate`` is what
-        it can take from the whole fleet.
+        it can take from the whole fleet.  For a request that another
+        instance will send, ``sender`` is its name; the whole rate is the
+        limit then, as the sender keeps to its own part.
         """
+        if sender:
+            names = self._list_senders(region, seed, rate)
+            return rate if sender in names else 0.0
         names = self.by_region.get(region, ())
         if self.own not in names:
             return 0.0
@@ -42,6 +49,15 @@
             names = _choose_senders(names, seed, sender_count)
         return rate / sender_count if self.own in names else 0.0
 
+    def _list_senders(
+        self, region: str, seed: int, rate: float
+    ) -> tuple[str, ...]:
+        names = self.by_region.get(region, ())
+        sender_count = max(
+            1, min(len(names), int(rate / MIN_RATE_PER_INSTANCE))
+        )
+        return _choose_senders(names, seed, sender_count)
+
 
 def plan_slow_start(
     own: str,
--- a/src/gypsummount/_edge/admission.py
+++ b/src/gypsummount/_edge/admission.py
@@ -213,6 +213,7 @@
             priority * RANKS_PER_PRIORITY + route.priority,
             first_sent_at + route.objective_s,
             route.objective_s,
+            route.name,
         )
 
     def _check_drain(self, context: RequestContext) -> None:
--- a/src/gypsummount/_edge/backends.py
+++ b/src/gypsummount/_edge/backends.py
@@ -31,7 +31,8 @@
     it may run (empty: anywhere).  ``object_hash`` is the hash of its object.
     ``due_at`` is when its latency objective ends (boot clock, s): later
     answers don't count in full.  ``rank`` is the urgency of the request:
-    waiting requests of the lowest rank are served first.
+    waiting requests of the lowest rank are served first.  ``route`` is its
+    route.  ``sender`` is the instance that will send it, if not this one.
     """
 
     service: str
@@ -41,6 +42,8 @@
     rank: int
     due_at: float
     objective_s: float
+    route: str = ""
+    sender: str = ""
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/src/gypsummount/_edge/dispatch.py
@@ -0,0 +1,307 @@
+"""Selection by the dispatcher of a service, in a large fleet."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._common.line_limiter import LineLimiter
+from gypsummount._common.logs import get_logger
+from gypsummount._core.catalog import Catalog
+from gypsummount._core.groups import Member
+from gypsummount._edge.backends import Need
+from gypsummount._edge.digests import Digest
+from gypsummount._edge.dispatch_messages import Answer
+from gypsummount._edge.dispatch_messages import ANSWER_MARK
+from gypsummount._edge.dispatch_messages import AnswerKind
+from gypsummount._edge.dispatch_messages import ASK_MARK
+from gypsummount._edge.dispatch_messages import encode_release
+from gypsummount._edge.dispatch_messages import HELD_MARK
+from gypsummount._edge.dispatch_messages import RELEASE_MARK
+from gypsummount._edge.dispatch_releases import UnacknowledgedReleases
+from gypsummount._edge.dispatcher import Dispatcher
+from gypsummount._edge.dispatcher import Sender
+from gypsummount._edge.dispatcher_ranks import DispatcherRanks
+from gypsummount._edge.held_upstreams import HeldUpstream
+from gypsummount._edge.held_upstreams import HeldUpstreams
+from gypsummount._edge.questions import Question
+from gypsummount._edge.questions import Questions
+from gypsummount._edge.selection import Selection
+from gypsummount._edge.selector import ExchangeResult
+from gypsummount._edge.selector import Selector
+from gypsummount._edge.waiting import Pick
+from gypsummount.errors import NoCapacity
+from gypsummount.errors import RecordInvalid
+
+# Upstreams that a dispatcher may offer to one request; each one that this
+# instance may not use costs a further exchange of messages.
+MAX_OFFERS = 3
+LINES_PER_S = 1.0
+
+_log = get_logger("dispatch")
+
+DatagramHandler = Callable[[bytes, str], None]
+
+
+@dataclass(slots=True, frozen=True)
+class DispatchedPick(Pick):
+    """A selected upstream and the number of its request."""
+
+    number: int = 0
+
+
+class Dispatch(Selector):
+    """Gets upstreams from dispatchers, or selects them here.
+
+    In a small fleet, for services whose upstreams state no speed, and while
+    the dispatchers do not answer, this instance selects by itself.
+    """
+
+    def __init__(
+        self, own: Member, region: str, selection: Selection, send: Sender
+    ) -> None:
+        self._selection = selection
+        self._send = send
+        self._ranks = DispatcherRanks(own, region)
+        self._held = HeldUpstreams(send)
+        self._releases = UnacknowledgedReleases()
+        self._names: dict[str, str] = {}
+        now = read_monotonic()
+        self._silence_lines = LineLimiter(LINES_PER_S, now)
+        self._invalid_lines = LineLimiter(LINES_PER_S, now)
+        self.questions = Questions(send)
+        self.dispatcher = Dispatcher(selection, send)
+
+    def list_handlers(self) -> dict[bytes, DatagramHandler]:
+        """Return the handlers of datagrams by mark."""
+        handlers = {
+            ASK_MARK: self.dispatcher.receive_ask,
+            RELEASE_MARK: self.dispatcher.receive_release,
+            HELD_MARK: self.dispatcher.receive_held,
+            ANSWER_MARK: self._receive_answer,
+        }
+        return {
+            mark: self._guard(handler) for mark, handler in handlers.items()
+        }
+
+    def is_dispatched(self, service: str) -> bool:
+        """Tell whether dispatchers select the upstreams of a service."""
+        return service in self._ranks and self._selection.has_speed(service)
+
+    def count_dispatched(self) -> int:
+        """Return how many services this instance dispatches."""
+        return sum(map(self._selection.has_speed, self._ranks.list_own()))
+
+    def list_gauges(self) -> dict[str, float]:
+        """Return the numbers of messages and grants, by metric."""
+        questions = self.questions
+        dispatcher = self.dispatcher
+        return {
+            "services_dispatched": float(self.count_dispatched()),
+            "dispatch_asked": float(questions.asked),
+            "dispatch_answered": float(questions.answered),
+            "dispatch_queued": float(questions.queued),
+            "dispatch_timed_out": float(questions.timed_out),
+            "dispatch_granted": float(dispatcher.granted),
+            "dispatch_granted_queued": float(dispatcher.queued),
+            "dispatch_expired": float(dispatcher.expired),
+            "dispatch_grants_in_use": float(dispatcher.in_use),
+        }
+
+    def apply_fleet(
+        self,
+        live: list[Digest],
+        catalog: Catalog | None,
+        *,
+        is_grouped: bool,
+        is_serving: bool,
+    ) -> None:
+        """Update the dispatchers from the live peers and all services."""
+        services = [] if catalog is None else list(catalog.services)
+        has_changed = self._ranks.apply_fleet(
+            live, services, is_grouped=is_grouped, is_serving=is_serving
+        )
+        if not has_changed:
+            return
+        self._names = {host: name for name, host in self._ranks.hosts.items()}
+        self.dispatcher.set_names(self._names)
+        self._releases.retain(set(self._names))
+        self._held.retain(set(self._names))
+
+    def update(self, now: float) -> None:
+        """Renew the grants in use, and free those that have expired."""
+        self.dispatcher.update(now)
+        self._held.renew(self._ranks.hosts, now)
+
+    def stop(self) -> None:
+        """Dispatch no further requests; others go to the next instance."""
+        self.dispatcher.stop()
+
+    async def acquire(
+        self, need: Need, tried: frozenset[str], deadline: float
+    ) -> Pick:
+        """Return an upstream with free capacity, or wait for one.
+
+        :raises NoCapacity: when none becomes free in time.
+        """
+        if not self.is_dispatched(need.service):
+            return await self._selection.acquire(need, tried, deadline)
+        excluded = tried
+        for _ in range(MAX_OFFERS):
+            now = read_monotonic()
+            name = self._ranks.choose(need.service, now)
+            if name == "":
+                break
+            hosts = self._ranks.hosts
+            self._held.introduce(need.service, name, hosts, now)
+            question = self.questions.open(
+                hosts[name], need, excluded, deadline
+            )
+            if question is None:
+                break
+            answer = await self._ask(question)
+            if answer is None or answer.kind is AnswerKind.UNAVAILABLE:
+                self._suspect(name, need.service)
+                break
+            if answer.kind is AnswerKind.REFUSED:
+                raise _build_no_capacity(need, answer.retry_after_s)
+            pick = self._start(name, answer, need, tried, deadline)
+            if pick is not None:
+                return pick
+            excluded = excluded | {answer.upstream}
+        return await self._select_here(need, tried, deadline)
+
+    def finish(self, pick: Pick, result: ExchangeResult) -> None:
+        """Return an upstream after the exchange, with what it showed."""
+        self._selection.finish(pick, result)
+        if not isinstance(pick, DispatchedPick):
+            return
+        held = self._held.pop(pick.number)
+        host = self._ranks.hosts.get(held.dispatcher)
+        if host is not None:
+            self._release(host, pick.number, result)
+
+    async def _ask(self, question: Question) -> Answer | None:
+        """Return a dispatcher's answer, or None if it does not answer.
+
+        :raises NoCapacity: when the time of the request is over.
+        """
+        is_settled = False
+        try:
+            answer = await self.questions.wait(question)
+            is_settled = answer is not None
+        finally:
+            self.questions.close(question)
+            if not is_settled:
+                number = question.number
+                self._release(question.host, number, ExchangeResult())
+        if answer is None and read_monotonic() >= question.deadline:
+            raise _build_no_capacity(question.need, 0.0)
+        return answer
+
+    def _start(
+        self,
+        name: str,
+        answer: Answer,
+        need: Need,
+        tried: frozenset[str],
+        deadline: float,
+    ) -> Pick | None:
+        """Start at a granted upstream; return None if this may not use it."""
+        now = read_monotonic()
+        backend = self._selection.start_granted(
+            answer.upstream, need, tried, now
+        )
+        if backend is None:
+            host = self._ranks.hosts.get(name)
+            if host is not None:
+                self._release(host, answer.number, ExchangeResult())
+            return None
+        pick = DispatchedPick(
+            backend, answer.position, answer.load, answer.number
+        )
+        self._hold(pick, need, deadline, name, now)
+        return pick
+
+    async def _select_here(
+        self, need: Need, tried: frozenset[str], deadline: float
+    ) -> Pick:
+        """Select as without dispatchers, but keep the upstream in mind."""
+        pick = await self._selection.acquire(need, tried, deadline)
+        number = self.questions.take_number()
+        kept = DispatchedPick(pick.backend, pick.position, pick.load, number)
+        self._hold(kept, need, deadline, "", read_monotonic())
+        return kept
+
+    def _hold(
+        self,
+        pick: DispatchedPick,
+        need: Need,
+        deadline: float,
+        dispatcher: str,
+        now: float,
+    ) -> None:
+        held = HeldUpstream(
+            need.service,
+            pick.backend.record.name,
+            need.object_hash,
+            deadline,
+            dispatcher,
+            now,
+        )
+        self._held.add(pick.number, held)
+
+    def _suspect(self, name: str, service: str) -> None:
+        now = read_monotonic()
+        self._ranks.suspect(name, now)
+        if self._silence_lines.try_take(now):
+            _log.info(
+                "Dispatcher %s of %s gives no upstreams; selecting here.",
+                name,
+                service,
+                extra={"left_out": self._silence_lines.dropped},
+            )
+
+    def _release(self, host: str, number: int, result: ExchangeResult) -> None:
+        data = encode_release(number, result)
+        self._releases.add(host, number, data, read_monotonic())
+        self._send(data, host)
+
+    def _receive_answer(self, data: bytes, host: str) -> None:
+        answer = self.questions.receive(data, host)
+        if host not in self._names:
+            return
+        now = read_monotonic()
+        acknowledged = answer.acknowledged
+        for release in self._releases.acknowledge(host, acknowledged, now):
+            self._send(release, host)
+        self._held.observe_epoch(host, answer.epoch, self._ranks.hosts, now)
+        is_late = answer.number not in self._held
+        if is_late and not self.questions.is_open(answer.number):
+            if answer.kind is AnswerKind.GRANTED:
+                self._release(host, answer.number, ExchangeResult())
+
+    def _guard(self, handler: DatagramHandler) -> DatagramHandler:
+        """Return a handler that logs unreadable datagrams, within bounds."""
+
+        def handle(data: bytes, host: str) -> None:
+            try:
+                handler(data, host)
+            except RecordInvalid as error:
+                if self._invalid_lines.try_take(read_monotonic()):
+                    _log.warning(
+                        "Ignored a datagram from %s: %s",
+                        host,
+                        error,
+                        extra={"left_out": self._invalid_lines.dropped},
+                    )
+
+        return handle
+
+
+def _build_no_capacity(need: Need, retry_after_s: float) -> NoCapacity:
+    error = NoCapacity(
+        f"no upstream of {need.service} has room; come back later"
+    )
+    if retry_after_s > 0:
+        error.retry_after_s = retry_after_s
+    return error
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -16,6 +16,7 @@
 from gypsummount._common.tasks import start_task
 from gypsummount._core.charts import StateMachine
 from gypsummount._core.freshness import FreshnessProof
+from gypsummount._core.groups import Member
 from gypsummount._core.quotas import QuotaShares
 from gypsummount._core.readers import Contact
 from gypsummount._edge.admission import Admission
@@ -26,6 +27,7 @@
 from gypsummount._edge.digests import NO_ECHO
 from gypsummount._edge.digests import SERVING
 from gypsummount._edge.digests import STARTING
+from gypsummount._edge.dispatch import Dispatch
 from gypsummount._edge.fleet_state import FleetState
 from gypsummount._edge.follower import Follower
 from gypsummount._edge.front import EdgeFront
@@ -135,6 +137,14 @@
         self._gossip.add_handler(REQUEST_MARK, self._tokens.receive_request)
         self._gossip.add_handler(GRANT_MARK, self._tokens.receive_grant)
         self._gossip.add_handler(REFUND_MARK, self._tokens.receive_refund)
+        self._dispatch = Dispatch(
+            Member(settings.instance, settings.capacity),
+            settings.region,
+            self._selection,
+            self._gossip.send,
+        )
+        for mark, handler in self._dispatch.list_handlers().items():
+            self._gossip.add_handler(mark, handler)
         self.front = EdgeFront(
             Proxy(
                 self.replica,
@@ -149,6 +159,7 @@
                 self._retry_budgets,
                 wire,
                 settings.region,
+                selector=self._dispatch,
             ),
             wire,
             self.metrics,
@@ -167,6 +178,7 @@
             self._gossip,
             self._tokens,
             self._bodies,
+            self._dispatch,
         )
 
     @property
@@ -197,6 +209,7 @@
         _log.info("Stopping.")
         self._shutdown.request(self._settings.bounds)
         self.front.is_closing = True
+        self._dispatch.stop()
         self._gossip.send_to_all()
 
     def list_advertised(self) -> list[Digest]:
@@ -273,6 +286,7 @@
             self._fleet_due_at = now + GOSSIP_INTERVAL_S
             self._update_fleet(now)
         self._check_isolation(now)
+        self._dispatch.update(now)
         self._selection.update()
         self._refreshed_at = read_monotonic()
 
@@ -287,6 +301,13 @@
             self._live, is_grouped=self.peers.is_grouped
         )
 
+        self._dispatch.apply_fleet(
+            self._live,
+            self.replica.catalog,
+            is_grouped=self.peers.is_grouped,
+            is_serving=self.phase == SERVING,
+        )
+
     def _check_isolation(self, now: float) -> None:
         """Notify the selection while neither store nor peers send updates.
 
--- a/src/gypsummount/_edge/proxy.py
+++ b/src/gypsummount/_edge/proxy.py
@@ -4,15 +4,19 @@
 
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.disconnects import CallerConnection
-from gypsummount._common.line_limiter import LineLimiter
-from gypsummount._common.logs import get_logger
 from gypsummount._edge.admission import Admission
 from gypsummount._edge.admission import RequestContext
 from gypsummount._edge.admission import Send
 from gypsummount._edge.backends import Backend
+from gypsummount._edge.exchange_results import build_failure
+from gypsummount._edge.exchange_results import build_result
+from gypsummount._edge.exchange_results import SERVER_ERROR_STATUS
+from gypsummount._edge.hold_records import HoldRecorder
 from gypsummount._edge.replica import Replica
 from gypsummount._edge.retry_budgets import RetryBudgets
 from gypsummount._edge.selection import Selection
+from gypsummount._edge.selector import ExchangeResult
+from gypsummount._edge.selector import Selector
 from gypsummount._edge.waiting import Pick
 from gypsummount._edge.wire import AnswerReport
 from gypsummount._edge.wire import Arrival
@@ -30,10 +34,6 @@
 # An upstream that refused a request gets no other one for this time.
 SHED_PAUSE_S = 0.1
 REFUSED_RETRY_AFTER_S = 0.05
-SERVER_ERROR_STATUS = 500
-PUSHBACK_LINES_PER_S = 2.0
-
-_log = get_logger("proxy")
 
 
 @dataclass(slots=True, frozen=True)
@@ -63,16 +63,17 @@
         retry_budgets: RetryBudgets,
         wire: Wire,
         region: str,
+        *,
+        selector: Selector | None = None,
     ) -> None:
         self._replica = replica
         self._selection = selection
+        self._selector = selector or selection
         self._admission = admission
         self._retry_budgets = retry_budgets
         self._wire = wire
         self._region = region
-        self._pushback_lines = LineLimiter(
-            PUSHBACK_LINES_PER_S, read_monotonic()
-        )
+        self._holds = HoldRecorder()
 
     async def run(
         self, arrival: Arrival, caller: CallerConnection, arrived_at: float
@@ -114,7 +115,7 @@
         self, context: RequestContext, tried: frozenset[str]
     ) -> Pick:
         try:
-            return await self._selection.acquire(
+            return await self._selector.acquire(
                 context.need, tried, context.deadline
             )
         except NoCapacity:
@@ -140,7 +141,7 @@
         context.is_new = False
         canary.in_flight_old += 1
         context.need = context.old_need
-        return await self._selection.acquire(
+        return await self._selector.acquire(
             context.need, tried, context.deadline
         )
 
@@ -148,6 +149,7 @@
         now = read_monotonic()
         backend = pick.backend
         closed_early = backend.pool.closed_early
+        result = ExchangeResult()
         try:
             self._check_sendable(context, backend, context.deadline - now)
             answer = await backend.pool.build_and_send(
@@ -155,13 +157,19 @@
                 context.deadline - now,
                 repeatable=context.route.repeatable,
             )
+            reply = _Reply(answer, self._wire.read_verdict(answer))
+            result = build_result(
+                answer.status, reply.report, read_monotonic() - now
+            )
+        except ExchangeError as error:
+            result = _build_failure(context, backend, error, now)
+            raise
         finally:
             if backend.pool.closed_early != closed_early:
                 self._selection.record_broken_exchange(
                     backend, read_monotonic()
                 )
-            self._selection.release(backend)
-        reply = _Reply(answer, self._wire.read_verdict(answer))
+            self._selector.finish(pick, result)
         self._record_reply(context, pick, reply, read_monotonic() - now)
         return reply
 
@@ -217,11 +225,13 @@
         backend = pick.backend
         report = reply.report
         backend.load.record_answer(now)
-        self._record_hold(backend, report, now)
+        self._holds.record(backend, report, now)
         if report.load is not None:
             backend.load.record_load_report(
                 report.load.running, report.load.waiting, now
             )
+            if report.load.speed is not None:
+                self._selection.record_speed(context.need.service)
         if not report.ran:
             self._record_refusal(backend, report, now)
             return
@@ -235,35 +245,6 @@
             )
         self._record_evidence(context, failed=failed, latency_s=latency_s)
 
-    def _record_hold(
-        self, backend: Backend, report: AnswerReport, now: float
-    ) -> None:
-        """Record that an upstream wants no further requests."""
-        hold = backend.load.hold
-        if report.is_leaving and not hold.is_leaving:
-            hold.record_leaving()
-            _log.info(
-                "Upstream %s is leaving; it gets no further requests.",
-                backend.record.name,
-            )
-        if report.retry_after_s is not None:
-            hold.record_retry_after(now, report.retry_after_s)
-            self._log_pushback(backend, report.retry_after_s, now)
-
-    def _log_pushback(
-        self, backend: Backend, span_s: float, now: float
-    ) -> None:
-        if not self._pushback_lines.try_take(now):
-            return
-        _log.info(
-            "Upstream %s wants no requests for a while.",
-            backend.record.name,
-            extra={
-                "for_s": round(span_s, 3),
-                "left_out": self._pushback_lines.dropped,
-            },
-        )
-
     def _record_refusal(
         self, backend: Backend, answer_report: AnswerReport, now: float
     ) -> None:
@@ -385,3 +366,19 @@
         if context.may_have_run:
             raise OutcomeUnknown("the time is over; the request may have run")
         raise NoCapacity("no upstream took the request in time")
+
+
+def _build_failure(
+    context: RequestContext,
+    backend: Backend,
+    error: ExchangeError,
+    began_at: float,
+) -> ExchangeResult:
+    now = read_monotonic()
+    has_time = context.deadline - now >= MIN_SEND_TIME_S
+    return build_failure(
+        error,
+        now - began_at,
+        could_send=has_time and backend.may_send(now),
+        is_due=backend.load.is_answer_due(now - began_at),
+    )
--- a/src/gypsummount/_edge/selection.py
+++ b/src/gypsummount/_edge/selection.py
@@ -21,6 +21,8 @@
 from gypsummount._edge.backends import Need
 from gypsummount._edge.probing import Prober
 from gypsummount._edge.replica import Replica
+from gypsummount._edge.selector import ExchangeResult
+from gypsummount._edge.selector import Selector
 from gypsummount._edge.waiting import Criteria
 from gypsummount._edge.waiting import Pick
 from gypsummount._edge.waiting import WaitingQueue
@@ -63,9 +65,10 @@
     new_requests: int = 0
     demand: float = 0.0
     work: ProcessingTimes = field(default_factory=ProcessingTimes)
+    has_speed: bool = False
 
 
-class Selection:
+class Selection(Selector):
     """Chooses upstreams by region plan, affinity, load and rate limit."""
 
     def __init__(
@@ -215,6 +218,48 @@
             raise _build_no_capacity(need)
         return pick
 
+    def has_speed(self, service: str) -> bool:
+        """Tell whether a service's upstreams state their current speed."""
+        state = self._services.get(service)
+        return state is not None and state.has_speed
+
+    def record_speed(self, service: str) -> None:
+        """Record that an upstream of a service stated its current speed."""
+        state = self._services.get(service)
+        if state is not None:
+            state.has_speed = True
+
+    def knows(self, service: str) -> bool:
+        """Tell whether any upstream of a service is known."""
+        self._refresh(read_monotonic())
+        return service in self._services
+
+    def find_backend(self, upstream: str) -> Backend | None:
+        """Return the backend of an upstream, or None."""
+        return self._backends.find(upstream)
+
+    def start_granted(
+        self, upstream: str, need: Need, tried: frozenset[str], now: float
+    ) -> Backend | None:
+        """Start a request at an upstream that a dispatcher has selected.
+
+        Returns None if this instance may not send it there now.
+        """
+        self._refresh(now)
+        backend = self._backends.find(upstream)
+        state = self._services.get(need.service)
+        if backend is None or state is None:
+            return None
+        if backend.record.service != need.service:
+            return None
+        load = backend.load
+        if not backend.fits(need, tried) or not load.is_available(now):
+            return None
+        if not self._is_within_rate_limit(state, backend, need, now):
+            return None
+        load.record_start(now)
+        return backend
+
     def mark_isolated(self, now: float) -> None:
         """Suspect that all upstreams are cold while no updates arrive.
 
@@ -241,6 +286,10 @@
         if state is not None:
             self._serve_queue(state, read_monotonic())
 
+    def finish(self, pick: Pick, result: ExchangeResult) -> None:
+        """Record the end of an exchange; the proxy records its result."""
+        self.release(pick.backend)
+
     def _release_pick(self, pick: Pick) -> None:
         self.release(pick.backend)
 
@@ -331,7 +380,7 @@
             )
             if cost_s is None or (best is not None and cost_s >= min_cost_s):
                 continue
-            if not self._is_within_rate_limit(state, backend, now):
+            if not self._is_within_rate_limit(state, backend, need, now):
                 continue
             best = Pick(backend, position, estimate)
             min_cost_s = cost_s
@@ -347,7 +396,7 @@
         )
 
     def _is_within_rate_limit(
-        self, state: _ServiceState, backend: Backend, now: float
+        self, state: _ServiceState, backend: Backend, need: Need, now: float
     ) -> bool:
         """Tell whether a cold upstream's rate limit allows one request.
 
@@ -365,7 +414,7 @@
         if rate <= 0:
             return True
         rate_limit = self._slow_start_plan.compute_rate_limit(
-            backend.region, load.seed, rate
+            backend.region, load.seed, rate, need.sender
         )
         return load.is_within_rate(now, rate_limit)
 
--- a/src/gypsummount/_edge/status.py
+++ b/src/gypsummount/_edge/status.py
@@ -5,6 +5,7 @@
 from gypsummount._common.logs import get_logger
 from gypsummount._common.loop_timer import LoopTimer
 from gypsummount._common.metrics import Metrics
+from gypsummount._edge.dispatch import Dispatch
 from gypsummount._edge.exposition import write_exposition
 from gypsummount._edge.front import EdgeFront
 from gypsummount._edge.gossip import Gossip
@@ -34,7 +35,9 @@
         gossip: Gossip,
         tokens: Tokens,
         bodies: BodyAccount,
+        dispatch: Dispatch,
     ) -> None:
+        self._dispatch = dispatch
         self._bodies = bodies
         self._metrics = metrics
         self._loop_timer = loop_timer
@@ -69,6 +72,7 @@
             "is_relay": float(self._gossip.is_relay),
             "workspaces_owned": float(self._tokens.count_owned()),
             "token_requests_unanswered": float(self._tokens.unanswered),
+            **self._dispatch.list_gauges(),
         }
         return write_exposition(self._metrics, gauges, now)
 
--- a/src/gypsummount/_edge/wire.py
+++ b/src/gypsummount/_edge/wire.py
@@ -38,10 +38,15 @@
 
 @dataclass(slots=True, frozen=True)
 class LoadReport:
-    """Numbers of requests running and waiting at an upstream."""
+    """Numbers of requests running and waiting at an upstream.
+
+    ``speed`` is the current service time there, where 100 is normal, or
+    None if the upstream does not state it.
+    """
 
     running: int
     waiting: int
+    speed: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/tests/edge/test_dispatch.py
@@ -0,0 +1,382 @@
+"""Selection of upstreams by the dispatcher of a region."""
+
+from asyncio import create_task
+from asyncio import gather
+from asyncio import sleep
+
+import pytest
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._core.dispatchers import LEASE_MARGIN_S
+from gypsummount._core.dispatchers import MAX_LEASE_S
+from gypsummount._core.slow_start import SlowStartPlan
+from gypsummount._core.upstream_load import ColdReason
+from gypsummount._core.upstream_load import FAULTS_TO_EJECT
+from gypsummount._core.upstream_load import MAX_LOAD_PER_SLOT
+from gypsummount._edge.dispatch_messages import ANSWER_MARK
+from gypsummount._edge.dispatch_messages import ASK_MARK
+from gypsummount._edge.dispatch_messages import HELD_MARK
+from gypsummount._edge.dispatch_messages import RELEASE_MARK
+from gypsummount._edge.dispatch_releases import MAX_SENDS
+from gypsummount._edge.dispatch_releases import RETRY_S
+from gypsummount._edge.dispatch_releases import UnacknowledgedReleases
+from gypsummount._edge.selector import ExchangeEnd
+from gypsummount._edge.selector import ExchangeResult
+from gypsummount.errors import NoCapacity
+from tests.edge.dispatch_network import build_need
+from tests.edge.dispatch_network import build_result
+from tests.edge.dispatch_network import let_pass
+from tests.edge.dispatch_network import Network
+from tests.edge.test_selection import LOCAL_UPSTREAMS
+from tests.edge.test_selection import SLOTS
+
+SIZE = 6
+# An object that no upstream knows fills its first choice, and takes one
+# place at each of the others.
+CAPACITY = int(SLOTS * MAX_LOAD_PER_SLOT) + LOCAL_UPSTREAMS - 1
+
+
+@pytest.fixture
+async def network():
+    created = Network(SIZE)
+    yield created
+    created.close()
+
+
+async def fill(node):
+    """Take all that an object may use; return the picks."""
+    picks = []
+    while True:
+        need = build_need(objective_s=0.01)
+        try:
+            picks.append(await node.acquire(need))
+        except NoCapacity:
+            return picks
+
+
+class TestGrants:
+    async def test_request_takes_three_datagrams(self, network):
+        ranked, others = network.rank()
+        pick = await others[0].acquire()
+        assert others[0].count_in_flight() == 1
+        assert ranked[0].count_in_flight() == 1
+        others[0].dispatch.finish(pick, build_result())
+        await sleep(0.01)
+        assert others[0].count_in_flight() == 0
+        assert ranked[0].count_in_flight() == 0
+        assert len(network.sent) == 3
+
+    async def test_one_instance_counts_the_requests_of_all(self, network):
+        """Guards against upstreams that are filled by ignorant instances."""
+        ranked, _ = network.rank()
+        nodes = list(network.nodes.values())
+        picks = await gather(
+            *(node.acquire(build_need(n)) for n, node in enumerate(nodes * 3))
+        )
+        assert ranked[0].count_in_flight() == len(picks)
+        loads = {}
+        for pick in picks:
+            name = pick.backend.record.name
+            loads[name] = loads.get(name, 0) + 1
+        for backend in ranked[0].selection._backends:
+            expected = loads.get(backend.record.name, 0)
+            assert backend.load.in_flight == expected
+
+    async def test_dispatcher_learns_from_the_exchanges_of_others(
+        self, network
+    ):
+        """Guards against a dispatcher that knows no object and no fault."""
+        ranked, others = network.rank()
+        pick = await others[0].acquire()
+        others[0].dispatch.finish(pick, build_result(0.3))
+        await sleep(0.01)
+        name = pick.backend.record.name
+        backend = ranked[0].selection.find_backend(name)
+        assert backend.load.has_answered_for(7)
+        assert backend.load.latency_s == pytest.approx(0.3)
+        for _ in range(FAULTS_TO_EJECT):
+            pick = await others[1].acquire()
+            assert pick.backend.record.name == name
+            others[1].dispatch.finish(
+                pick, build_result(end=ExchangeEnd.FAILED)
+            )
+            await sleep(0.01)
+        assert not backend.load.is_available(read_monotonic())
+
+    async def test_one_failed_connection_ejects_for_nobody_else(self, network):
+        """Guards against one instance's broken link."""
+        ranked, others = network.rank()
+        pick = await others[0].acquire()
+        others[0].dispatch.finish(
+            pick, build_result(end=ExchangeEnd.UNANSWERED)
+        )
+        await sleep(0.01)
+        backend = ranked[0].selection.find_backend(pick.backend.record.name)
+        assert backend.load.is_available(read_monotonic())
+
+    async def test_upstream_that_is_leaving_gets_nothing_from_others(
+        self, network
+    ):
+        ranked, others = network.rank()
+        pick = await others[0].acquire()
+        others[0].dispatch.finish(
+            pick, ExchangeResult(ExchangeEnd.SUCCEEDED, 0.1, None, True)
+        )
+        await sleep(0.01)
+        second = await others[1].acquire()
+        assert second.backend.record.name != pick.backend.record.name
+
+
+class TestSwitch:
+    async def test_service_without_a_speed_sends_nothing(self, network):
+        for node in network.nodes.values():
+            node.selection._services["s"].has_speed = False
+            await node.acquire()
+        assert network.sent == []
+
+    async def test_small_fleet_sends_nothing(self, network):
+        for node in network.nodes.values():
+            node.dispatch.apply_fleet(
+                [], node.replica.catalog, is_grouped=False, is_serving=True
+            )
+            await node.acquire()
+        assert network.sent == []
+
+
+class TestQueue:
+    async def test_waiting_request_gets_the_slot_that_another_frees(
+        self, network
+    ):
+        """Guards against idle slots while a request waits elsewhere."""
+        _, others = network.rank()
+        picks = await fill(others[0])
+        assert len(picks) == CAPACITY
+        task = create_task(others[1].acquire(build_need(objective_s=2.0)))
+        await sleep(0.05)
+        assert not task.done()
+        others[0].dispatch.finish(picks[0], build_result())
+        pick = await task
+        assert others[1].dispatch.questions.queued == 1
+        assert pick.backend.record.name == picks[0].backend.record.name
+
+    async def test_refusal_comes_with_a_time_to_return(self, network):
+        _, others = network.rank()
+        await fill(others[0])
+        with pytest.raises(NoCapacity) as caught:
+            await others[1].acquire(build_need(objective_s=0.1))
+        assert 0.1 < caught.value.retry_after_s < 1.0
+
+    async def test_client_that_disconnects_leaves_the_queue(self, network):
+        """Guards against slots for requests whose callers have gone."""
+        ranked, others = network.rank()
+        picks = await fill(others[0])
+        task = create_task(others[1].acquire(build_need(objective_s=2.0)))
+        await sleep(0.05)
+        task.cancel()
+        await sleep(0.05)
+        assert ranked[0].dispatch.dispatcher._waiting == {}
+        for pick in picks:
+            others[0].dispatch.finish(pick, build_result())
+        await sleep(0.05)
+        assert ranked[0].count_in_flight() == 0
+
+    async def test_client_that_disconnects_returns_its_grant(self, network):
+        """Guards against a grant that arrives just after the client left."""
+        ranked, others = network.rank()
+        task = create_task(others[0].acquire())
+        await sleep(0)
+        task.cancel()
+        await sleep(0.05)
+        assert ranked[0].count_in_flight() == 0
+        assert others[0].count_in_flight() == 0
+
+    async def test_cancellation_that_overtakes_the_ask_is_kept(self, network):
+        """Guards against a grant for a request that has ended."""
+        ranked, others = network.rank()
+        network.drop.add(ASK_MARK)
+        task = create_task(others[0].acquire())
+        await sleep(0)
+        task.cancel()
+        await sleep(0.05)
+        assert network.count(RELEASE_MARK) == 1
+        sender, ask, _ = network.sent[0]
+        dispatcher = ranked[0].dispatch.dispatcher
+        dispatcher.receive_ask(ask, sender)
+        await sleep(0.05)
+        assert dispatcher.granted == 0
+        assert ranked[0].count_in_flight() == 0
+
+
+class TestUnreliableDatagrams:
+    @pytest.mark.parametrize("seed", range(4))
+    async def test_every_request_ends_and_no_slot_is_lost(self, seed):
+        """Guards against in-flight counts that drift with each fault."""
+        network = Network(10, seed=seed, loss=0.1, copies=0.2, delay_s=0.03)
+        nodes = list(network.nodes.values())
+
+        async def run(number):
+            await sleep(number * 0.004)
+            node = nodes[number % len(nodes)]
+            pick = await node.acquire(build_need(number % 9), remaining_s=2.0)
+            await sleep(0.02)
+            node.dispatch.finish(pick, build_result())
+
+        tasks = gather(*(run(number) for number in range(150)))
+        await let_pass(1.2, network)
+        await tasks
+        later = read_monotonic() + MAX_LEASE_S + LEASE_MARGIN_S
+        for node in nodes:
+            node.dispatch.dispatcher.update(later)
+            assert node.count_in_flight() == 0
+            assert node.dispatch.dispatcher.in_use == 0
+        network.close()
+
+    async def test_repeated_ask_is_granted_once(self, network):
+        ranked, others = network.rank()
+        await others[0].acquire()
+        sender, data, _ = network.sent[0]
+        ranked[0].handlers[ASK_MARK](data, sender)
+        await sleep(0.01)
+        assert ranked[0].dispatch.dispatcher.granted == 1
+        assert others[0].count_in_flight() == 1
+        assert ranked[0].count_in_flight() == 1
+
+    async def test_lost_answer_is_asked_for_again(self, network):
+        ranked, others = network.rank()
+        network.drop.add(ANSWER_MARK)
+        task = create_task(others[0].acquire())
+        await sleep(0.04)
+        network.drop.clear()
+        await task
+        assert ranked[0].dispatch.dispatcher.granted == 1
+        assert others[0].dispatch.questions.timed_out == 0
+
+    async def test_lost_answer_to_a_queued_request_is_asked_for_again(
+        self, network
+    ):
+        _, others = network.rank()
+        picks = await fill(others[0])
+        task = create_task(others[1].acquire(build_need(objective_s=2.0)))
+        await sleep(0.02)
+        network.drop.add(ANSWER_MARK)
+        others[0].dispatch.finish(picks[0], build_result())
+        await sleep(0.02)
+        network.drop.clear()
+        began = read_monotonic()
+        await task
+        assert read_monotonic() - began < 0.4
+
+    async def test_lost_release_is_sent_again_after_the_next_answer(
+        self, network
+    ):
+        ranked, others = network.rank()
+        pick = await others[0].acquire()
+        network.drop.add(RELEASE_MARK)
+        others[0].dispatch.finish(pick, build_result())
+        await sleep(RETRY_S + 0.02)
+        network.drop.clear()
+        assert ranked[0].count_in_flight() == 1
+        await others[0].acquire()
+        await sleep(0.02)
+        assert ranked[0].count_in_flight() == 1
+        assert ranked[0].dispatch.dispatcher.in_use == 1
+
+    def test_release_is_given_up_and_the_kept_ones_are_bounded(self):
+        releases = UnacknowledgedReleases()
+        for number in range(1000):
+            releases.add("h", number, b"", 0.0)
+        sent = [
+            len(releases.acknowledge("h", (), RETRY_S * (turn + 1)))
+            for turn in range(MAX_SENDS + 1)
+        ]
+        assert sent == [64, 64, 0, 0]
+
+    async def test_acknowledged_release_is_not_sent_again(self, network):
+        _, others = network.rank()
+        pick = await others[0].acquire()
+        others[0].dispatch.finish(pick, build_result())
+        await sleep(RETRY_S + 0.02)
+        for _ in range(2):
+            await others[0].acquire()
+        assert network.count(RELEASE_MARK) == 1
+
+    async def test_long_exchange_keeps_its_grant(self, network):
+        """Guards against a slot that counts as free while it is used."""
+        ranked, others = network.rank()
+        await others[0].acquire(remaining_s=60.0)
+        now = read_monotonic()
+        for step in range(1, 8):
+            later = now + step * 1.6
+            for node in network.nodes.values():
+                node.dispatch._held.renew(node.dispatch._ranks.hosts, later)
+            await sleep(0.01)
+        assert ranked[0].dispatch.dispatcher.expired == 0
+        assert network.count(HELD_MARK) == 7
+
+    async def test_invalid_datagrams_change_nothing(self, network, caplog):
+        node = next(iter(network.nodes.values()))
+        for mark, handler in node.handlers.items():
+            for _ in range(20):
+                handler(mark + b"\xff", "10.9.9.9")
+        assert network.sent == []
+        assert node.count_in_flight() == 0
+        assert 1 <= len(caplog.records) <= 3
+
+
+class TestOwnChecks:
+    async def test_upstream_that_this_instance_may_not_use_is_replaced(
+        self, network
+    ):
+        ranked, others = network.rank()
+        refused = (await others[0].acquire()).backend.record.name
+        others[1].selection.find_backend(refused).is_usable = False
+        pick = await others[1].acquire()
+        assert pick.backend.record.name != refused
+        await sleep(0.01)
+        assert ranked[0].count_in_flight() == 2
+
+    async def test_cold_upstream_is_granted_only_to_those_that_may_send(
+        self, network
+    ):
+        """Guards against a cold upstream's rate that nobody may use.
+
+        Only few instances may send to it, and rarely the dispatcher.
+        """
+        ranked, others = network.rank()
+        may, may_not = others[0], others[1]
+        for node in network.nodes.values():
+            name = node.digest.name
+            node.selection.apply_fleet_state(
+                {}, SlowStartPlan(name, {"a": (may.digest.name,)})
+            )
+            for backend in node.selection._backends:
+                backend.load.mark_cold(
+                    read_monotonic(),
+                    read_monotonic() + 9.0,
+                    ColdReason.REGISTRATION,
+                )
+        assert (await may.acquire()).backend.region == "a"
+        with pytest.raises(NoCapacity):
+            await may_not.acquire(build_need(objective_s=0.05))
+        assert ranked[0].count_in_flight() == 1
+
+    async def test_restarted_cold_upstream_keeps_to_its_rate(self, network):
+        """Guards against floods when only the sender knows the restart."""
+        _, others = network.rank()
+        rate = 24
+        for backend in others[0].selection._backends:
+            backend.load.mark_cold(
+                read_monotonic(),
+                read_monotonic() + 9.0,
+                ColdReason.REGISTRATION,
+            )
+        sent = []
+        for _ in range(40):
+            try:
+                pick = await others[0].acquire(build_need(objective_s=0.02))
+            except NoCapacity:
+                break
+            sent.append(pick.backend.record.name)
+            others[0].dispatch.finish(pick, build_result())
+        assert len(sent) > rate
+        assert max(sent.count(name) for name in sent) <= rate
--- a/tests/edge/test_selection.py
+++ b/tests/edge/test_selection.py
@@ -47,8 +47,7 @@
     return Need("s", frozenset(), regions, object_hash, rank, due_at, 0.3)
 
 
-@pytest.fixture
-def replica():
+def create_replica():
     created = Replica(None, FreshnessProof(4.0))
     created.catalog = Catalog(1, CallerLimits(15.0, 1000))
     created.catalog.services["s"] = EdgeService("s", 3.0, 24.0)
@@ -59,6 +58,11 @@
     return created
 
 
+@pytest.fixture
+def replica():
+    return create_replica()
+
+
 @pytest.fixture
 def selection(replica):
     created = Selection(replica, "a", REGIONS, Prober(replica, None, "a"))
