--- a/tests/model/upstreams.py
+++ b/tests/model/upstreams.py
@@ -188,7 +188,9 @@
     # The fleet, which the run sets before it starts any instance.
     network = None
 
-    def __init__(self, address, last_timeout=None, max_fresh_age_s=1.0):
+    def __init__(
+        self, address, last_timeout=None, max_fresh_age_s=1.0, account=None
+    ):
         self.address = address
         self._owner = INCARNATION.get()
         self._idle = []
