--- a/tests/edge/test_dispatch_failures.py
+++ b/tests/edge/test_dispatch_failures.py
@@ -123,6 +123,7 @@
         ranked, others = network.rank()
         ranked[0].held_back = []
         await others[0].acquire()
+        await sleep(0.02)
         held_back = ranked[0].held_back
         asks = [item for item in held_back if item[0].startswith(ASK_MARK)]
         ranked[0].held_back = asks
