--- a/benchmarks/test_dispatch.py
+++ b/benchmarks/test_dispatch.py
@@ -39,8 +39,7 @@
         self.gossip = Gossip(
             node.digest.name, host, PORT, Peers("a"), None, None
         )
-        for mark, handler in node.dispatch.list_handlers().items():
-            self.gossip.add_handler(mark, handler)
+        self.gossip.add_handlers(node.dispatch.list_handlers())
 
     def _send(self, data, host):
         self.sizes.append(len(data))
--- a/src/gypsummount/_edge/gossip.py
+++ b/src/gypsummount/_edge/gossip.py
@@ -102,6 +102,10 @@
         """
         self._handlers[mark] = handler
 
+    def add_handlers(self, handlers: dict[bytes, DatagramHandler]) -> None:
+        """Add handlers by the marks of their datagrams."""
+        self._handlers.update(handlers)
+
     def send(self, data: bytes, host: str) -> None:
         """Send a datagram to the peer port of a host."""
         if self._transport is not None:
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -143,8 +143,7 @@
             self._selection,
             self._gossip.send,
         )
-        for mark, handler in self._dispatch.list_handlers().items():
-            self._gossip.add_handler(mark, handler)
+        self._gossip.add_handlers(self._dispatch.list_handlers())
         self.front = EdgeFront(
             Proxy(
                 self.replica,
@@ -238,6 +237,7 @@
         settings = self._settings
         stack.push_async_callback(self._feed.close)
         stack.callback(self._selection.close)
+        stack.callback(self._dispatch.stop)
         await self._gossip.open()
         stack.callback(self._gossip.close)
         for host in settings.seeds:
