--- a/tests/edge/dispatch_network.py
+++ b/tests/edge/dispatch_network.py
@@ -15,6 +15,7 @@
 from gypsummount._edge.selector import ExchangeEnd
 from gypsummount._edge.selector import ExchangeResult
 from gypsummount._edge.wire import LoadReport
+from gypsummount.errors import NoCapacity
 from tests.edge.test_peers import build_digest
 from tests.edge.test_selection import create_replica
 from tests.edge.test_selection import REGIONS
@@ -171,3 +172,14 @@
                 node.dispatch.update(now)
                 node.selection.update()
         await sleep(min(0.05, max(0.0, until - now)))
+
+
+async def fill(node):
+    """Take all that an object may use; return the picks."""
+    picks = []
+    while True:
+        need = build_need(objective_s=0.01)
+        try:
+            picks.append(await node.acquire(need))
+        except NoCapacity:
+            return picks
