--- a/benchmarks/test_dispatch.py
+++ b/benchmarks/test_dispatch.py
@@ -95,7 +95,7 @@
             f"{own_s * 1e6:.1f} us, {len(sizes) / count:.3f} datagrams and "
             f"{sum(sizes) / count:.0f} bytes a request"
         )
-        assert asking.dispatch.questions.asked == count
+        assert asking.dispatch.requests.asked == count
         assert dispatched_s <= MAX_REQUEST_S
         assert len(sizes) / count <= MAX_DATAGRAMS
         assert sum(sizes) / count <= MAX_BYTES
--- a/src/gypsummount/_edge/dispatch.py
+++ b/src/gypsummount/_edge/dispatch.py
@@ -13,18 +13,18 @@
 from gypsummount._edge.dispatch_messages import Answer
 from gypsummount._edge.dispatch_messages import ANSWER_MARK
 from gypsummount._edge.dispatch_messages import AnswerKind
-from gypsummount._edge.dispatch_messages import ASK_MARK
 from gypsummount._edge.dispatch_messages import encode_release
 from gypsummount._edge.dispatch_messages import HELD_MARK
 from gypsummount._edge.dispatch_messages import RELEASE_MARK
+from gypsummount._edge.dispatch_messages import REQUEST_MARK
 from gypsummount._edge.dispatch_releases import UnacknowledgedReleases
+from gypsummount._edge.dispatch_requests import PendingRequest
+from gypsummount._edge.dispatch_requests import PendingRequests
 from gypsummount._edge.dispatcher import Dispatcher
 from gypsummount._edge.dispatcher import Sender
 from gypsummount._edge.dispatcher_ranks import DispatcherRanks
 from gypsummount._edge.held_upstreams import HeldUpstream
 from gypsummount._edge.held_upstreams import HeldUpstreams
-from gypsummount._edge.questions import Question
-from gypsummount._edge.questions import Questions
 from gypsummount._edge.selection import Selection
 from gypsummount._edge.selector import ExchangeResult
 from gypsummount._edge.selector import Selector
@@ -68,13 +68,13 @@
         now = read_monotonic()
         self._silence_lines = LineLimiter(LINES_PER_S, now)
         self._invalid_lines = LineLimiter(LINES_PER_S, now)
-        self.questions = Questions(send)
+        self.requests = PendingRequests(send)
         self.dispatcher = Dispatcher(selection, send)
 
     def list_handlers(self) -> dict[bytes, DatagramHandler]:
         """Return the handlers of datagrams by mark."""
         handlers = {
-            ASK_MARK: self.dispatcher.receive_ask,
+            REQUEST_MARK: self.dispatcher.receive_request,
             RELEASE_MARK: self.dispatcher.receive_release,
             HELD_MARK: self.dispatcher.receive_held,
             ANSWER_MARK: self._receive_answer,
@@ -93,14 +93,14 @@
 
     def list_gauges(self) -> dict[str, float]:
         """Return the numbers of messages and grants, by metric."""
-        questions = self.questions
+        requests = self.requests
         dispatcher = self.dispatcher
         return {
             "services_dispatched": float(self.count_dispatched()),
-            "dispatch_asked": float(questions.asked),
-            "dispatch_answered": float(questions.answered),
-            "dispatch_queued": float(questions.queued),
-            "dispatch_timed_out": float(questions.timed_out),
+            "dispatch_asked": float(requests.asked),
+            "dispatch_answered": float(requests.answered),
+            "dispatch_queued": float(requests.queued),
+            "dispatch_timed_out": float(requests.timed_out),
             "dispatch_granted": float(dispatcher.granted),
             "dispatch_granted_queued": float(dispatcher.queued),
             "dispatch_expired": float(dispatcher.expired),
@@ -153,12 +153,10 @@
                 break
             hosts = self._ranks.hosts
             self._held.introduce(need.service, name, hosts, now)
-            question = self.questions.open(
-                hosts[name], need, excluded, deadline
-            )
-            if question is None:
+            pending = self.requests.open(hosts[name], need, excluded, deadline)
+            if pending is None:
                 break
-            answer = await self._ask(question)
+            answer = await self._ask(pending)
             if answer is None or answer.kind is AnswerKind.UNAVAILABLE:
                 self._suspect(name, need.service)
                 break
@@ -180,22 +178,22 @@
         if host is not None:
             self._release(host, pick.number, result)
 
-    async def _ask(self, question: Question) -> Answer | None:
+    async def _ask(self, pending: PendingRequest) -> Answer | None:
         """Return a dispatcher's answer, or None if it does not answer.
 
         :raises NoCapacity: when the time of the request is over.
         """
         is_settled = False
         try:
-            answer = await self.questions.wait(question)
+            answer = await self.requests.wait(pending)
             is_settled = answer is not None
         finally:
-            self.questions.close(question)
+            self.requests.close(pending)
             if not is_settled:
-                number = question.number
-                self._release(question.host, number, ExchangeResult())
-        if answer is None and read_monotonic() >= question.deadline:
-            raise _build_no_capacity(question.need, 0.0)
+                number = pending.number
+                self._release(pending.host, number, ExchangeResult())
+        if answer is None and read_monotonic() >= pending.deadline:
+            raise _build_no_capacity(pending.need, 0.0)
         return answer
 
     def _start(
@@ -227,7 +225,7 @@
     ) -> Pick:
         """Select as without dispatchers, but keep the upstream in mind."""
         pick = await self._selection.acquire(need, tried, deadline)
-        number = self.questions.take_number()
+        number = self.requests.take_number()
         kept = DispatchedPick(pick.backend, pick.position, pick.load, number)
         self._hold(kept, need, deadline, "", read_monotonic())
         return kept
@@ -267,16 +265,18 @@
         self._send(data, host)
 
     def _receive_answer(self, data: bytes, host: str) -> None:
-        answer = self.questions.receive(data, host)
+        answer = self.requests.receive(data, host)
         if host not in self._names:
             return
         now = read_monotonic()
         acknowledged = answer.acknowledged
         for release in self._releases.acknowledge(host, acknowledged, now):
             self._send(release, host)
-        self._held.observe_epoch(host, answer.epoch, self._ranks.hosts, now)
+        self._held.observe_incarnation(
+            host, answer.incarnation, self._ranks.hosts, now
+        )
         is_late = answer.number not in self._held
-        if is_late and not self.questions.is_open(answer.number):
+        if is_late and not self.requests.is_open(answer.number):
             if answer.kind is AnswerKind.GRANTED:
                 self._release(host, answer.number, ExchangeResult())
 
--- a/src/gypsummount/_edge/dispatch_messages.py
+++ b/src/gypsummount/_edge/dispatch_messages.py
@@ -1,6 +1,6 @@
 """Datagrams by which instances ask a dispatcher for upstreams.
 
-A request takes three: the ask, its answer, and the release when the
+A request takes three: the request, its answer, and the release when the
 exchange has ended.  An answer also acknowledges earlier releases.
 """
 
@@ -17,7 +17,7 @@
 from gypsummount._edge.wire import LoadReport
 from gypsummount.errors import RecordInvalid
 
-ASK_MARK = b"\xffD"
+REQUEST_MARK = b"\xffD"
 ANSWER_MARK = b"\xffU"
 RELEASE_MARK = b"\xffE"
 HELD_MARK = b"\xffH"
@@ -29,7 +29,7 @@
 MAX_SPAN_S = 3600.0
 MAX_COUNT = 0xFFFF
 MAX_RANK = 0x7FFFFFFF
-_ASK = Struct("!QIifffH")
+_REQUEST = Struct("!QIifffH")
 _ANSWER = Struct("!QIBHffB")
 _RELEASE = Struct("!QBBfHHff")
 _HELD = Struct("!QIfH")
@@ -54,7 +54,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Ask:
+class DispatchRequest:
     """Asks for an upstream.
 
     ``number`` identifies the request at its sender.  ``remaining_s`` is its
@@ -69,14 +69,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Answer:
-    """A dispatcher's answer to the ask with a number.
+    """A dispatcher's answer to the request with a number.
 
-    ``epoch`` differs after each start of the dispatcher.  ``acknowledged``
-    are the numbers of requests whose releases have arrived.
+    ``incarnation`` differs after each start of the dispatcher.
+    ``acknowledged`` are the numbers of requests whose releases have arrived.
     """
 
     number: int
-    epoch: int
+    incarnation: int
     kind: AnswerKind
     upstream: str = ""
     position: int = 0
@@ -95,35 +95,35 @@
     upstream: str
 
 
-def encode_ask(ask: Ask, due_in_s: float) -> bytes:
-    """Return an ask as a datagram; ``due_in_s`` replaces the due time."""
-    need = ask.need
+def encode_request(request: DispatchRequest, due_in_s: float) -> bytes:
+    """Return a request as a datagram; ``due_in_s`` replaces the due time."""
+    need = request.need
     scope = _encode_scope(
         need.service, need.route, need.versions, need.regions
     )
-    head = _ASK.pack(
-        ask.number,
+    head = _REQUEST.pack(
+        request.number,
         need.object_hash,
         max(-MAX_RANK, min(MAX_RANK, need.rank)),
-        _limit(ask.remaining_s),
+        _limit(request.remaining_s),
         _limit(due_in_s),
         _limit(need.objective_s),
         len(scope),
     )
-    tried = _FIELD.join(ask.tried).encode() if ask.tried else b""
-    return ASK_MARK + head + scope + tried
+    tried = _FIELD.join(request.tried).encode() if request.tried else b""
+    return REQUEST_MARK + head + scope + tried
 
 
-def decode_ask(data: bytes) -> Ask:
-    """Return the ask in a datagram; its due time is relative.
+def decode_request(data: bytes) -> DispatchRequest:
+    """Return the request in a datagram; its due time is relative.
 
     :raises RecordInvalid: when it cannot be decoded.
     """
     try:
         number, object_hash, rank, remaining_s, due_in_s, objective_s, size = (
-            _ASK.unpack_from(data, MARK_BYTES)
+            _REQUEST.unpack_from(data, MARK_BYTES)
         )
-        start = MARK_BYTES + _ASK.size
+        start = MARK_BYTES + _REQUEST.size
         if start + size > len(data):
             raise ValueError("it is cut off")
         scope = _decode_scope(data[start : start + size])
@@ -145,7 +145,7 @@
         route,
     )
     tried = frozenset(text.split(_FIELD)) if text else frozenset()
-    return Ask(number, need, tried, remaining_s)
+    return DispatchRequest(number, need, tried, remaining_s)
 
 
 def encode_answer(answer: Answer) -> bytes:
@@ -153,7 +153,7 @@
     acknowledged = answer.acknowledged[:MAX_ACKNOWLEDGED]
     head = _ANSWER.pack(
         answer.number,
-        answer.epoch,
+        answer.incarnation,
         answer.kind,
         min(MAX_COUNT, answer.position),
         answer.load,
@@ -170,7 +170,7 @@
     :raises RecordInvalid: when it cannot be decoded.
     """
     try:
-        number, epoch, kind, position, load, retry_after_s, count = (
+        number, incarnation, kind, position, load, retry_after_s, count = (
             _ANSWER.unpack_from(data, MARK_BYTES)
         )
         start = MARK_BYTES + _ANSWER.size
@@ -186,7 +186,7 @@
     _check_spans(load, retry_after_s)
     return Answer(
         number,
-        epoch,
+        incarnation,
         kind,
         upstream,
         position,
--- a/src/gypsummount/_edge/dispatcher.py
+++ b/src/gypsummount/_edge/dispatcher.py
@@ -19,10 +19,10 @@
 from gypsummount._edge.backends import Need
 from gypsummount._edge.dispatch_messages import Answer
 from gypsummount._edge.dispatch_messages import AnswerKind
-from gypsummount._edge.dispatch_messages import Ask
-from gypsummount._edge.dispatch_messages import decode_ask
 from gypsummount._edge.dispatch_messages import decode_held
 from gypsummount._edge.dispatch_messages import decode_release
+from gypsummount._edge.dispatch_messages import decode_request
+from gypsummount._edge.dispatch_messages import DispatchRequest
 from gypsummount._edge.dispatch_messages import encode_answer
 from gypsummount._edge.dispatch_messages import Held
 from gypsummount._edge.dispatch_messages import MAX_ACKNOWLEDGED
@@ -32,13 +32,13 @@
 from gypsummount.errors import NoCapacity
 
 # Requests of others that wait here at most, over all services.
-MAX_WAITING_ASKS = 1024
+MAX_WAITING_REQUESTS = 1024
 # Instances whose releases are acknowledged.
 MAX_HOSTS = 1024
-# Asks that arrive this long after the last update were sent while this
+# Requests that arrive this long after the last update were sent while this
 # process was frozen or overloaded: whoever sent them selects by itself.
 FREEZE_GAP_S = 0.5
-EPOCH_BITS = 32
+INCARNATION_BITS = 32
 LINES_PER_S = 1.0
 
 _log = get_logger("dispatch")
@@ -64,7 +64,7 @@
     def __init__(self, selection: Selection, send: Sender) -> None:
         self._selection = selection
         self._send = send
-        self._epoch = getrandbits(EPOCH_BITS)
+        self._incarnation = getrandbits(INCARNATION_BITS)
         self._names: dict[str, str] = {}
         self._waiting: dict[GrantKey, Task[None]] = {}
         self._table: GrantTable[_Granted] = GrantTable()
@@ -86,7 +86,7 @@
         return len(self._table)
 
     def set_names(self, names: dict[str, str]) -> None:
-        """Set the names of the instances that may ask, by host."""
+        """Set the names of the instances that may request, by host."""
         self._names = names
 
     def update(self, now: float) -> None:
@@ -102,18 +102,18 @@
             )
 
     def stop(self) -> None:
-        """Answer all that wait, and all later asks, as unavailable."""
+        """Answer all that wait, and all later requests, as unavailable."""
         self._is_stopping = True
         for task in self._waiting.values():
             task.cancel()
 
-    def receive_ask(self, data: bytes, host: str) -> None:
-        """Answer an ask; a repeated one gets the same answer.
+    def receive_request(self, data: bytes, host: str) -> None:
+        """Answer a request; a repeated one gets the same answer.
 
         :raises RecordInvalid: when it cannot be decoded.
         """
-        ask = decode_ask(data)
-        key = (host, ask.number)
+        request = decode_request(data)
+        key = (host, request.number)
         now = read_monotonic()
         if self._is_stopping:
             self._answer(key, AnswerKind.UNAVAILABLE)
@@ -124,7 +124,7 @@
         elif self._table.has_ended(key):
             self._answer_ended(key)
         elif now - self._updated_at <= FREEZE_GAP_S:
-            self._begin(key, ask, now)
+            self._begin(key, request, now)
 
     def receive_release(self, data: bytes, host: str) -> None:
         """Free the upstream of a request, and learn from its exchange.
@@ -184,20 +184,22 @@
         )
         self._table.add(key, granted, expires_at)
 
-    def _begin(self, key: GrantKey, ask: Ask, now: float) -> None:
-        if not self._selection.knows(ask.need.service):
+    def _begin(
+        self, key: GrantKey, request: DispatchRequest, now: float
+    ) -> None:
+        if not self._selection.knows(request.need.service):
             self._answer(key, AnswerKind.UNAVAILABLE)
             return
-        if len(self._waiting) >= MAX_WAITING_ASKS or self._table.is_full:
+        if len(self._waiting) >= MAX_WAITING_REQUESTS or self._table.is_full:
             self._answer(key, AnswerKind.UNAVAILABLE)
             return
         need = replace(
-            ask.need,
-            due_at=now + ask.need.due_at,
+            request.need,
+            due_at=now + request.need.due_at,
             sender=self._names.get(key[0], key[0]),
         )
-        deadline = now + ask.remaining_s
-        task = create_task(self._select(key, need, ask.tried, deadline))
+        deadline = now + request.remaining_s
+        task = create_task(self._select(key, need, request.tried, deadline))
         self._waiting[key] = task
         # The task runs its first step before this call.
         get_running_loop().call_soon(self._check_queued, key, task)
@@ -252,7 +254,11 @@
         host, number = key
         acknowledged = self._take_acknowledged(host)
         answer = Answer(
-            number, self._epoch, kind, acknowledged=acknowledged, **values
+            number,
+            self._incarnation,
+            kind,
+            acknowledged=acknowledged,
+            **values,
         )
         self._send(encode_answer(answer), host)
 
--- a/src/gypsummount/_edge/held_upstreams.py
+++ b/src/gypsummount/_edge/held_upstreams.py
@@ -37,7 +37,7 @@
         self._send = send
         self._held: dict[int, HeldUpstream] = {}
         self._current: dict[str, str] = {}
-        self._epochs: dict[str, int] = {}
+        self._incarnations: dict[str, int] = {}
 
     def __contains__(self, number: int) -> bool:
         return number in self._held
@@ -52,9 +52,9 @@
 
     def retain(self, hosts: set[str]) -> None:
         """Forget what is known of hosts that are gone."""
-        self._epochs = {
-            host: epoch
-            for host, epoch in self._epochs.items()
+        self._incarnations = {
+            host: incarnation
+            for host, incarnation in self._incarnations.items()
             if host in hosts
         }
 
@@ -76,11 +76,11 @@
             name,
         )
 
-    def observe_epoch(
-        self, host: str, epoch: int, hosts: dict[str, str], now: float
+    def observe_incarnation(
+        self, host: str, incarnation: int, hosts: dict[str, str], now: float
     ) -> None:
         """Report the upstreams in use if a dispatcher has restarted."""
-        if self._epochs.get(host, epoch) != epoch:
+        if self._incarnations.get(host, incarnation) != incarnation:
             self._report(
                 [
                     number
@@ -90,7 +90,7 @@
                 hosts,
                 now,
             )
-        self._epochs[host] = epoch
+        self._incarnations[host] = incarnation
 
     def renew(self, hosts: dict[str, str], now: float) -> None:
         """Report the upstreams that are held for long."""
--- a/tests/edge/test_dispatch.py
+++ b/tests/edge/test_dispatch.py
@@ -11,8 +11,8 @@
 from gypsummount._core.upstream_load import ColdReason
 from gypsummount._core.upstream_load import FAULTS_TO_EJECT
 from gypsummount._core.upstream_load import MAX_LOAD_PER_SLOT
-from gypsummount._edge.dispatch_messages import ASK_MARK
 from gypsummount._edge.dispatch_messages import RELEASE_MARK
+from gypsummount._edge.dispatch_messages import REQUEST_MARK
 from gypsummount._edge.selector import ExchangeEnd
 from gypsummount._edge.selector import ExchangeResult
 from gypsummount.errors import NoCapacity
@@ -138,7 +138,7 @@
         assert not task.done()
         others[0].dispatch.finish(picks[0], build_result())
         pick = await task
-        assert others[1].dispatch.questions.queued == 1
+        assert others[1].dispatch.requests.queued == 1
         assert pick.backend.record.name == picks[0].backend.record.name
 
     async def test_refusal_comes_with_a_time_to_return(self, network):
@@ -172,18 +172,20 @@
         assert ranked[0].count_in_flight() == 0
         assert others[0].count_in_flight() == 0
 
-    async def test_cancellation_that_overtakes_the_ask_is_kept(self, network):
+    async def test_cancellation_that_overtakes_the_request_is_kept(
+        self, network
+    ):
         """Guards against a grant for a request that has ended."""
         ranked, others = network.rank()
-        network.drop.add(ASK_MARK)
+        network.drop.add(REQUEST_MARK)
         task = create_task(others[0].acquire())
         await sleep(0)
         task.cancel()
         await sleep(0.05)
         assert network.count(RELEASE_MARK) == 1
-        sender, ask, _ = network.sent[0]
+        sender, request, _ = network.sent[0]
         dispatcher = ranked[0].dispatch.dispatcher
-        dispatcher.receive_ask(ask, sender)
+        dispatcher.receive_request(request, sender)
         await sleep(0.05)
         assert dispatcher.granted == 0
         assert ranked[0].count_in_flight() == 0
--- a/tests/edge/test_dispatch_datagrams.py
+++ b/tests/edge/test_dispatch_datagrams.py
@@ -14,14 +14,14 @@
 from gypsummount._core.dispatchers import LEASE_MARGIN_S
 from gypsummount._core.dispatchers import MAX_LEASE_S
 from gypsummount._edge.dispatch_messages import ANSWER_MARK
-from gypsummount._edge.dispatch_messages import Ask
-from gypsummount._edge.dispatch_messages import ASK_MARK
-from gypsummount._edge.dispatch_messages import encode_ask
+from gypsummount._edge.dispatch_messages import DispatchRequest
 from gypsummount._edge.dispatch_messages import encode_held
 from gypsummount._edge.dispatch_messages import encode_release
+from gypsummount._edge.dispatch_messages import encode_request
 from gypsummount._edge.dispatch_messages import Held
 from gypsummount._edge.dispatch_messages import HELD_MARK
 from gypsummount._edge.dispatch_messages import RELEASE_MARK
+from gypsummount._edge.dispatch_messages import REQUEST_MARK
 from gypsummount._edge.dispatch_releases import MAX_SENDS
 from gypsummount._edge.dispatch_releases import RETRY_S
 from gypsummount._edge.dispatch_releases import UnacknowledgedReleases
@@ -34,7 +34,8 @@
 SIZE = 6
 # Messages about a few requests, and the end of all leases.
 STEPS = st.tuples(
-    st.sampled_from(["ask", "release", "held", "expire"]), st.integers(0, 3)
+    st.sampled_from(["request", "release", "held", "expire"]),
+    st.integers(0, 3),
 )
 
 
@@ -69,11 +70,11 @@
             assert node.dispatch.dispatcher.in_use == 0
         network.close()
 
-    async def test_repeated_ask_is_granted_once(self, network):
+    async def test_repeated_request_is_granted_once(self, network):
         ranked, others = network.rank()
         await others[0].acquire()
         sender, data, _ = network.sent[0]
-        ranked[0].handlers[ASK_MARK](data, sender)
+        ranked[0].handlers[REQUEST_MARK](data, sender)
         await sleep(0.01)
         assert ranked[0].dispatch.dispatcher.granted == 1
         assert others[0].count_in_flight() == 1
@@ -87,7 +88,7 @@
         network.drop.clear()
         await task
         assert ranked[0].dispatch.dispatcher.granted == 1
-        assert others[0].dispatch.questions.timed_out == 0
+        assert others[0].dispatch.requests.timed_out == 0
 
     async def test_lost_answer_to_a_queued_request_is_asked_for_again(
         self, network
@@ -100,7 +101,7 @@
         others[0].dispatch.finish(picks[0], build_result())
         await sleep(0.02)
         network.drop.clear()
-        # Without a repeated ask it would be refused at its deadline.
+        # Without a repeated message it would be refused at its deadline.
         await task
 
     async def test_lost_release_is_sent_again_after_the_next_answer(
@@ -174,9 +175,11 @@
         now = read_monotonic()
         granted = set()
         for kind, number in steps:
-            if kind == "ask":
-                ask = Ask(number, build_need(), frozenset(), 1.0)
-                dispatcher.receive_ask(encode_ask(ask, 1.0), "h")
+            if kind == "request":
+                request = DispatchRequest(
+                    number, build_need(), frozenset(), 1.0
+                )
+                dispatcher.receive_request(encode_request(request, 1.0), "h")
             elif kind == "release":
                 data = encode_release(number, build_result())
                 dispatcher.receive_release(data, "h")
--- a/tests/edge/test_dispatch_failures.py
+++ b/tests/edge/test_dispatch_failures.py
@@ -8,8 +8,8 @@
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._core.dispatchers import LEASE_MARGIN_S
 from gypsummount._core.dispatchers import MAX_LEASE_S
-from gypsummount._edge.dispatch_messages import ASK_MARK
 from gypsummount._edge.dispatch_messages import HELD_MARK
+from gypsummount._edge.dispatch_messages import REQUEST_MARK
 from gypsummount._edge.dispatcher import FREEZE_GAP_S
 from gypsummount._edge.tokens import REQUEST_TIMEOUTS_S
 from tests.edge.dispatch_network import build_need
@@ -41,9 +41,9 @@
         began = read_monotonic()
         pick = await others[0].acquire()
         assert read_monotonic() - began < SILENCE_S + SLACK_S
-        assert others[0].dispatch.questions.timed_out == 1
+        assert others[0].dispatch.requests.timed_out == 1
         second = await others[0].acquire()
-        assert others[0].dispatch.questions.timed_out == 1
+        assert others[0].dispatch.requests.timed_out == 1
         # The next one also learns of what was selected without it.
         assert ranked[1].count_in_flight() == 2
         for used in (pick, second):
@@ -82,8 +82,8 @@
         await sleep(0.05)
         ranked[0].dispatch.stop()
         await task
-        assert others[1].dispatch.questions.asked == 1
-        assert others[1].dispatch.questions.timed_out == 0
+        assert others[1].dispatch.requests.asked == 1
+        assert others[1].dispatch.requests.timed_out == 0
         later = await others[1].acquire()
         assert ranked[1].count_in_flight() >= 1
         others[1].dispatch.finish(later, build_result())
@@ -104,7 +104,7 @@
         assert ranked[0].count_in_flight() == 0
         assert dispatcher.expired == 1
 
-    async def test_asks_of_the_frozen_time_get_no_grant(self, network):
+    async def test_requests_of_the_frozen_time_get_no_grant(self, network):
         """Guards against a thaw that fills the upstreams for nobody."""
         ranked, others = network.rank()
         ranked[0].held_back = []
@@ -125,8 +125,10 @@
         await others[0].acquire()
         await sleep(0.02)
         held_back = ranked[0].held_back
-        asks = [item for item in held_back if item[0].startswith(ASK_MARK)]
-        ranked[0].held_back = asks
+        requests = [
+            item for item in held_back if item[0].startswith(REQUEST_MARK)
+        ]
+        ranked[0].held_back = requests
         ranked[0].dispatch.dispatcher.update(read_monotonic())
         network.thaw(ranked[0])
         await sleep(0.05)
--- a/tests/edge/test_dispatch_messages.py
+++ b/tests/edge/test_dispatch_messages.py
@@ -12,15 +12,15 @@
 from gypsummount._edge.backends import Need
 from gypsummount._edge.dispatch_messages import Answer
 from gypsummount._edge.dispatch_messages import AnswerKind
-from gypsummount._edge.dispatch_messages import Ask
 from gypsummount._edge.dispatch_messages import decode_answer
-from gypsummount._edge.dispatch_messages import decode_ask
 from gypsummount._edge.dispatch_messages import decode_held
 from gypsummount._edge.dispatch_messages import decode_release
+from gypsummount._edge.dispatch_messages import decode_request
+from gypsummount._edge.dispatch_messages import DispatchRequest
 from gypsummount._edge.dispatch_messages import encode_answer
-from gypsummount._edge.dispatch_messages import encode_ask
 from gypsummount._edge.dispatch_messages import encode_held
 from gypsummount._edge.dispatch_messages import encode_release
+from gypsummount._edge.dispatch_messages import encode_request
 from gypsummount._edge.dispatch_messages import Held
 from gypsummount._edge.dispatch_messages import MAX_ACKNOWLEDGED
 from gypsummount._edge.dispatch_messages import MAX_SPAN_S
@@ -29,7 +29,7 @@
 from gypsummount._edge.wire import LoadReport
 from gypsummount.errors import RecordInvalid
 
-DECODERS = (decode_ask, decode_answer, decode_release, decode_held)
+DECODERS = (decode_request, decode_answer, decode_release, decode_held)
 NUMBERS = st.integers(0, 2**64 - 1)
 HASHES = st.integers(0, 2**32 - 1)
 SPANS = st.floats(0.0, MAX_SPAN_S, width=32)
@@ -38,7 +38,7 @@
 NAME_SETS = st.frozensets(NAMES.filter(bool), max_size=3)
 
 
-def build_ask(due_in_s=0.25):
+def build_request(due_in_s=0.25):
     need = Need(
         "s",
         frozenset({"v1"}),
@@ -49,7 +49,7 @@
         0.5,
         "read",
     )
-    return Ask(5, need, frozenset({"i-1", "i-2"}), 0.75)
+    return DispatchRequest(5, need, frozenset({"i-1", "i-2"}), 0.75)
 
 
 class TestRoundTrips:
@@ -62,8 +62,8 @@
         need = Need(
             service, versions, regions, hashed, -4, span_s, span_s, route
         )
-        ask = Ask(number, need, tried, span_s)
-        assert decode_ask(encode_ask(ask, span_s)) == ask
+        request = DispatchRequest(number, need, tried, span_s)
+        assert decode_request(encode_request(request, span_s)) == request
 
     @given(
         NUMBERS,
@@ -74,9 +74,18 @@
         SPANS,
         st.lists(NUMBERS, max_size=MAX_ACKNOWLEDGED),
     )
-    def test_answer(self, number, epoch, kind, name, position, span_s, acks):
+    def test_answer(
+        self, number, incarnation, kind, name, position, span_s, acks
+    ):
         answer = Answer(
-            number, epoch, kind, name, position, span_s, span_s, tuple(acks)
+            number,
+            incarnation,
+            kind,
+            name,
+            position,
+            span_s,
+            span_s,
+            tuple(acks),
         )
         assert decode_answer(encode_answer(answer)) == answer
 
@@ -111,10 +120,12 @@
     @given(st.integers(0, 60))
     def test_message_that_is_cut_off_is_refused(self, size):
         """Guards against a request that is read as a shorter one."""
-        whole = encode_ask(replace(build_ask(), tried=frozenset()), 0.25)
+        whole = encode_request(
+            replace(build_request(), tried=frozenset()), 0.25
+        )
         if size < len(whole):
             with pytest.raises(RecordInvalid):
-                decode_ask(whole[:size])
+                decode_request(whole[:size])
 
     @pytest.mark.parametrize("span_s", [nan, inf, -inf, -1.0, 1e9])
     @pytest.mark.parametrize("position", [18, 26])
@@ -122,19 +133,19 @@
         self, span_s, position
     ):
         """Guards against waits and leases of huge or negative length."""
-        data = bytearray(encode_ask(build_ask(), 0.25))
+        data = bytearray(encode_request(build_request(), 0.25))
         pack_into("!f", data, position, span_s)
         with pytest.raises(RecordInvalid):
-            decode_ask(bytes(data))
+            decode_request(bytes(data))
 
     @pytest.mark.parametrize("due_in_s", [nan, inf, -inf])
     def test_due_time_that_is_no_number_is_refused(self, due_in_s):
-        data = bytearray(encode_ask(build_ask(), 0.25))
+        data = bytearray(encode_request(build_request(), 0.25))
         pack_into("!f", data, 22, due_in_s)
         with pytest.raises(RecordInvalid):
-            decode_ask(bytes(data))
+            decode_request(bytes(data))
 
     def test_request_without_an_objective_in_sight_can_be_sent(self):
-        ask = build_ask()
-        decoded = decode_ask(encode_ask(ask, inf))
+        request = build_request()
+        decoded = decode_request(encode_request(request, inf))
         assert decoded.need.due_at == MAX_SPAN_S
