--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -15,6 +15,7 @@
 from gypsummount._common.tasks import start_task
 from gypsummount._core.charts import StateMachine
 from gypsummount._core.freshness import FreshnessProof
+from gypsummount._core.groups import Member
 from gypsummount._core.quotas import QuotaShares
 from gypsummount._core.readers import Contact
 from gypsummount._edge.admission import Admission
@@ -25,6 +26,7 @@
 from gypsummount._edge.digests import NO_ECHO
 from gypsummount._edge.digests import SERVING
 from gypsummount._edge.digests import STARTING
+from gypsummount._edge.dispatch import Dispatch
 from gypsummount._edge.duties import Duties
 from gypsummount._edge.duty_feed import DutyFeed
 from gypsummount._edge.fleet_state import FleetState
@@ -152,6 +154,13 @@
             encode_usage,
             self.metrics,
         )
+        self._dispatch = Dispatch(
+            Member(settings.instance, settings.capacity),
+            settings.region,
+            self._selection,
+            self._gossip.send,
+        )
+        self._gossip.add_handlers(self._dispatch.list_handlers())
         self.front = EdgeFront(
             Proxy(
                 self.replica,
@@ -167,6 +176,7 @@
                 wire,
                 settings.region,
                 self._usage.counter,
+                selector=self._dispatch,
             ),
             wire,
             self.metrics,
@@ -187,6 +197,7 @@
             self._bodies,
             self.duties,
             self._usage,
+            self._dispatch,
         )
 
     @property
@@ -218,6 +229,7 @@
         self._shutdown.request(self._settings.bounds)
         self.front.is_closing = True
         self.duties.stop()
+        self._dispatch.stop()
         self._gossip.send_to_all()
 
     def list_advertised(self) -> list[Digest]:
@@ -248,6 +260,7 @@
         stack.push_async_callback(self._feed.close)
         stack.push_async_callback(self.duties.close)
         stack.callback(self._selection.close)
+        stack.callback(self._dispatch.stop)
         await self._gossip.open()
         stack.callback(self._gossip.close)
         for host in settings.seeds:
@@ -299,6 +312,7 @@
             self._update_fleet(now)
         if self._isolation.update(self._live, now):
             self._selection.mark_isolated(now)
+        self._dispatch.update(now)
         self._selection.update()
         self._refreshed_at = read_monotonic()
 
@@ -314,6 +328,12 @@
         self._sources.set_live_peers(
             self._live, is_grouped=self.peers.is_grouped
         )
+        self._dispatch.apply_fleet(
+            self._live,
+            self.replica.catalog,
+            is_grouped=self.peers.is_grouped,
+            is_serving=self.phase == SERVING,
+        )
 
     async def _drive_rollouts(self) -> None:
         if not self._rollouts.is_active:
--- a/src/gypsummount/_edge/status.py
+++ b/src/gypsummount/_edge/status.py
@@ -6,6 +6,7 @@
 from gypsummount._common.loop_timer import LoopTimer
 from gypsummount._common.metrics import Metrics
 from gypsummount._core.positions import get_revision
+from gypsummount._edge.dispatch import Dispatch
 from gypsummount._edge.duties import Duties
 from gypsummount._edge.exposition import write_exposition
 from gypsummount._edge.front import EdgeFront
@@ -39,8 +40,10 @@
         bodies: BodyAccount,
         duties: Duties,
         usage: UsageDuty,
+        dispatch: Dispatch,
     ) -> None:
         self._usage = usage
+        self._dispatch = dispatch
         self._bodies = bodies
         self._duties = duties
         self._metrics = metrics
@@ -87,6 +90,7 @@
             "token_requests_unanswered": float(self._tokens.unanswered),
             **self._duties.list_gauges(),
             **self._usage.list_gauges(),
+            **self._dispatch.list_gauges(),
         }
         return write_exposition(self._metrics, gauges, now)
 
--- a/tests/edge/test_send_counter.py
+++ b/tests/edge/test_send_counter.py
@@ -68,7 +68,7 @@
 
 
 class _Selection:
-    def release(self, backend):
+    def finish(self, pick, result):
         pass
 
     def record_latency(self, service, pick, latency_s):
