Move the selection policy behind an abstract base class

The demand and upstreams of a service, the cached orders of upstreams, the limits of cold upstreams and the policy itself are modules of their own. LoadPolicy keeps the existing rules unchanged; Selection delegates to the policy of the service.

tests/edge and tests/core/test_slow_start.py pass.

--- a/src/gypsummount/_edge/proxy.py
+++ b/src/gypsummount/_edge/proxy.py
@@ -160,7 +160,7 @@
                 self._selection.record_broken_exchange(
                     backend, read_monotonic()
                 )
-            self._selection.release(backend)
+            self._selection.release(backend, pick)
         reply = _Reply(answer, self._wire.read_verdict(answer))
         self._record_reply(context, pick, reply, read_monotonic() - now)
         return reply
@@ -219,9 +219,7 @@
         backend.load.record_answer(now)
         self._record_hold(backend, report, now)
         if report.load is not None:
-            backend.load.record_load_report(
-                report.load.running, report.load.waiting, now
-            )
+            self._selection.record_load(backend, report.load, now)
         if not report.ran:
             self._record_refusal(backend, report, now)
             return
@@ -230,9 +228,7 @@
             backend.load.record_fault(now)
         else:
             backend.load.record_success(latency_s, context.need.object_hash)
-            self._selection.record_latency(
-                context.need.service, pick, latency_s
-            )
+            self._selection.record_latency(context.need, pick, latency_s)
         self._record_evidence(context, failed=failed, latency_s=latency_s)
 
     def _record_hold(
--- a/tests/edge/test_selection.py
+++ b/tests/edge/test_selection.py
@@ -15,9 +15,9 @@
 from gypsummount._core.upstream_load import MAX_LOAD_PER_SLOT
 from gypsummount._core.upstream_load import MIN_SILENCE_S
 from gypsummount._edge.backends import Need
+from gypsummount._edge.load_policy import MAX_PREFERRED
 from gypsummount._edge.probing import Prober
 from gypsummount._edge.replica import Replica
-from gypsummount._edge.selection import MAX_PREFERRED
 from gypsummount._edge.selection import Selection
 from gypsummount._edge.waiting import MAX_WAITING
 from gypsummount.errors import NoCapacity
