Select upstreams by outstanding work where they report their speed

Instances queued requests by count: capacity went to requests that were late already, and refusals came after most of the objective.

The fourth figure of the load header is read. Once an upstream of a service has sent it, WorkPolicy estimates the completion at each upstream from learned service times, outstanding work and speed; it orders waiting requests again when a slot frees and refuses at once, with the expected time of capacity, what can't be on time. Other services keep LoadPolicy.

--- a/src/gypsummount/_edge/admission.py
+++ b/src/gypsummount/_edge/admission.py
@@ -15,6 +15,7 @@
 from gypsummount._core.catalog import NO_HOME_REGIONS
 from gypsummount._core.draining import Drain
 from gypsummount._core.placement import hash_object
+from gypsummount._core.service_times import classify_body
 from gypsummount._core.weighted_choice import WeightedChoice
 from gypsummount._edge.backends import Need
 from gypsummount._edge.replica import Replica
@@ -42,6 +43,9 @@
 WAIT_FRACTION = 0.4
 # Most requests end within this many latency objectives.
 USUAL_OBJECTIVES = 2.0
+# A caller that has waited longer than this fraction of the latency objective
+# was probably refused before; less may be variation of its deadlines.
+RETURNING_FRACTION = 0.05
 # Replicas whose freshness proof is older never refuse unknown routes or keys.
 MAX_CATALOG_AGE_S = 2.0
 
@@ -124,10 +128,13 @@
         deadline = arrived_at + min(
             remaining_s - DEADLINE_MARGIN_S, route.timeout_s
         )
-        first_sent_at = arrived_at - self._caller_deadlines.estimate_waited(
+        waited_s = self._caller_deadlines.estimate_waited(
             route.name, remaining_s
         )
-        need = self._build_need(route, workspace, arrival, first_sent_at)
+        first_sent_at = arrived_at - waited_s
+        need = self._build_need(
+            route, workspace, arrival, first_sent_at, waited_s
+        )
         context = RequestContext(
             arrival,
             caller,
@@ -195,6 +202,7 @@
         workspace: EdgeWorkspace | None,
         arrival: Arrival,
         first_sent_at: float,
+        waited_s: float,
     ) -> Need:
         service = self._weighted_choice.choose(route.name, route.destinations)
         homes = _intersect_regions(
@@ -213,6 +221,10 @@
             priority * RANKS_PER_PRIORITY + route.priority,
             first_sent_at + route.objective_s,
             route.objective_s,
+            route.name,
+            workspace.name if workspace else "",
+            classify_body(len(arrival.body)),
+            waited_s > route.objective_s * RETURNING_FRACTION,
         )
 
     def _check_drain(self, context: RequestContext) -> None:
--- a/src/gypsummount/_edge/backends.py
+++ b/src/gypsummount/_edge/backends.py
@@ -10,6 +10,7 @@
 from gypsummount._core.catalog import UpstreamRecord
 from gypsummount._core.upstream_load import ColdReason
 from gypsummount._core.upstream_load import UpstreamLoad
+from gypsummount._core.work_account import WorkAccount
 from gypsummount._edge.replica import Replica
 from gypsummount._entry.connections import ConnectionPool
 from gypsummount._entry.connections import LastTimeout
@@ -32,6 +33,9 @@
     ``due_at`` is when its latency objective ends (boot clock, s): later
     answers don't count in full.  ``rank`` is the urgency of the request:
     waiting requests of the lowest rank are served first.
+
+    ``body_class`` is the size class of the request body.  A request
+    ``is_returning`` if its caller was probably refused before.
     """
 
     service: str
@@ -41,6 +45,10 @@
     rank: int
     due_at: float
     objective_s: float
+    route: str = ""
+    workspace: str = ""
+    body_class: int = 0
+    is_returning: bool = False
 
 
 @dataclass(slots=True)
@@ -48,6 +56,7 @@
     """One upstream with its load and its connections.
 
     ``probed_at`` is when a probe was last requested (boot clock, s).
+    ``account`` is kept where the upstreams report their speed.
     """
 
     load: UpstreamLoad
@@ -55,6 +64,7 @@
     region: str
     is_usable: bool = True
     probed_at: float = float("-inf")
+    account: WorkAccount | None = None
 
     @property
     def record(self) -> UpstreamRecord:
--- a/src/gypsummount/_edge/proxy.py
+++ b/src/gypsummount/_edge/proxy.py
@@ -88,6 +88,7 @@
         if context.canary is not None and not context.is_new:
             context.canary.in_flight_old += 1
         try:
+            self._check_capacity(context)
             await self._admission.admit(context)
             answer = await self._run_attempts(context)
             return ProxyOutcome(answer, context)
@@ -96,6 +97,14 @@
                 context.canary.in_flight_old -= 1
             self._admission.return_token(context)
 
+    def _check_capacity(self, context: RequestContext) -> None:
+        """Check for capacity first, so that no token is taken in vain.
+
+        :raises NoCapacity: if no upstream is expected to be free in time.
+        """
+        if not context.is_new:
+            self._selection.check_capacity(context.need, context.deadline)
+
     async def _run_attempts(self, context: RequestContext) -> UpstreamAnswer:
         tried: frozenset[str] = frozenset()
         self._retry_budgets.record_first_send(context.need.service)
--- a/src/gypsummount/_edge/selection.py
+++ b/src/gypsummount/_edge/selection.py
@@ -18,11 +18,13 @@
 from gypsummount._edge.replica import Replica
 from gypsummount._edge.selection_policy import build_no_capacity
 from gypsummount._edge.selection_policy import PolicyTools
+from gypsummount._edge.selection_policy import QueueReport
 from gypsummount._edge.selection_policy import SelectionPolicy
 from gypsummount._edge.service_state import ServiceState
 from gypsummount._edge.upstream_orders import UpstreamOrders
 from gypsummount._edge.waiting import Pick
 from gypsummount._edge.wire import LoadReport
+from gypsummount._edge.work_policy import WorkPolicy
 
 DEMAND_WEIGHT = 0.3  # smoothing factor of the average demand
 MIN_DEMAND_PER_S = 1.0
@@ -150,9 +152,14 @@
         self, backend: Backend, report: LoadReport, now: float
     ) -> None:
         """Record the load that an upstream reported with an answer."""
-        policy = self._policies.get(backend.record.service)
-        if policy is not None:
-            policy.record_load(backend, report, now)
+        service = backend.record.service
+        policy = self._policies.get(service)
+        if policy is None:
+            return
+        if report.speed is not None and not policy.uses_speed:
+            policy = WorkPolicy(service, policy, self._tools, now)
+            self._policies[service] = policy
+        policy.record_load(backend, report, now)
 
     def record_latency(self, need: Need, pick: Pick, latency_s: float) -> None:
         """Record how long (s) an upstream took to give a good answer."""
@@ -160,6 +167,27 @@
         if policy is not None:
             policy.record_latency(pick, need, latency_s)
 
+    def check_capacity(self, need: Need, deadline: float) -> None:
+        """Check that an upstream is expected to take a request in time.
+
+        :raises NoCapacity: if none is, as far as is known.
+        """
+        policy = self._policies.get(need.service)
+        if policy is not None and policy.uses_speed:
+            policy.check_capacity(need, deadline, read_monotonic())
+
+    def list_queues(self) -> dict[str, QueueReport]:
+        """Return the figures of the queues that are kept, by service."""
+        reports = {
+            name: policy.get_queue_report()
+            for name, policy in self._policies.items()
+        }
+        return {
+            name: report
+            for name, report in reports.items()
+            if report is not None
+        }
+
     async def acquire(
         self, need: Need, tried: frozenset[str], deadline: float
     ) -> Pick:
--- a/src/gypsummount/_edge/selection_policy.py
+++ b/src/gypsummount/_edge/selection_policy.py
@@ -34,13 +34,30 @@
     cold_limits: ColdLimits
 
 
+@dataclass(slots=True, frozen=True)
+class QueueReport:
+    """Waiting requests, their expected wait (s), and refusals so far.
+
+    ``refused_early`` were refused at once or soon, ``refused_late`` after
+    a longer wait.
+    """
+
+    waiting: int
+    expected_wait_s: float
+    refused_early: int
+    refused_late: int
+
+
 class SelectionPolicy(ABC):
     """Selects upstreams for one service and queues what finds no room.
 
     ``state`` holds the service's upstreams and region plan.  All times
-    are boot-clock seconds.
+    are boot-clock seconds.  ``uses_speed`` tells whether the policy uses
+    the speed that upstreams report.
     """
 
+    uses_speed = False
+
     def __init__(self, state: ServiceState, tools: PolicyTools) -> None:
         self.state = state
         self._tools = tools
@@ -65,6 +82,10 @@
     def update(self, now: float) -> None:
         """Serve waiting requests, as capacity may have become free."""
 
+    def get_queue_report(self) -> QueueReport | None:
+        """Return figures about the queue, or None if none are kept."""
+        return None
+
     def check_capacity(self, need: Need, deadline: float, now: float) -> None:
         """Check that waiting for an upstream is not known to be in vain.
 
--- a/src/gypsummount/_edge/wire.py
+++ b/src/gypsummount/_edge/wire.py
@@ -38,10 +38,15 @@
 
 @dataclass(slots=True, frozen=True)
 class LoadReport:
-    """Numbers of requests running and waiting at an upstream."""
+    """Numbers of requests running and waiting at an upstream.
+
+    ``speed`` is the current service time on its machine, where 100 is
+    normal, or None if the upstream does not report it.
+    """
 
     running: int
     waiting: int
+    speed: int | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/gypsummount/platform/wire.py
+++ b/src/gypsummount/platform/wire.py
@@ -40,6 +40,11 @@
 UNAVAILABLE = 503
 MS_PER_S = 1000
 IGNORED_LINES_PER_S = 1.0
+# The load header has this many fields if it contains the speed.
+SPEED_FIELDS = 4
+MAX_SPEED_FIGURE = 100_000
+INVALID_SPEED = -1
+MAX_DIGITS = 12  # longer numbers in the load header are malformed
 # Request headers that are read or set by the edge, so that a caller's are
 # not forwarded.
 EDGE_HEADERS = frozenset(
@@ -156,13 +161,25 @@
             if name == NOT_EXECUTED_HEADER:
                 ran = False
             elif name == SERVER_LOAD_HEADER:
-                load = _read_load(header.value)
+                load = self._read_load(header)
             elif name == LEAVING_HEADER and not is_other:
                 is_leaving = self._read_leaving(header)
             elif name == RETRY_AFTER_HEADER and answer.status == UNAVAILABLE:
                 retry_after_s = self._read_retry_after(header)
         return AnswerReport(ran, is_other, load, is_leaving, retry_after_s)
 
+    def _read_load(self, header: Header) -> LoadReport | None:
+        """Return the load, or None if the header is malformed.
+
+        A speed that is out of range is ignored.
+        """
+        load = _parse_load(header.value)
+        if load is None or load.speed == INVALID_SPEED:
+            self._log_ignored(header)
+        if load is not None and load.speed == INVALID_SPEED:
+            return LoadReport(load.running, load.waiting)
+        return load
+
     def _read_leaving(self, header: Header) -> bool:
         if header.value.strip() == LEAVING_VALUE:
             return True
@@ -243,14 +260,21 @@
     return max(1, int(text)) / MS_PER_S
 
 
-def _read_load(text: str) -> LoadReport | None:
-    """Return the load from ``running,waiting,slots``, None if malformed.
+def _parse_load(text: str) -> LoadReport | None:
+    """Return the load from ``running,waiting,slots,speed``.
 
-    The number of slots is not used and may be missing.
+    The number of slots is not used; it and the speed may be missing.  A
+    speed out of range becomes :data:`INVALID_SPEED`.
     """
     fields = text.split(",")
     if len(fields) < 2 or not all(
-        field.strip().isdecimal() for field in fields
+        field.strip().isdecimal() and len(field) <= MAX_DIGITS
+        for field in fields
     ):
         return None
-    return LoadReport(int(fields[0]), int(fields[1]))
+    if len(fields) < SPEED_FIELDS:
+        return LoadReport(int(fields[0]), int(fields[1]))
+    speed = int(fields[SPEED_FIELDS - 1])
+    if not 0 < speed <= MAX_SPEED_FIGURE:
+        speed = INVALID_SPEED
+    return LoadReport(int(fields[0]), int(fields[1]), speed)
