--- a/src/gypsummount/_core/service_times.py
+++ b/src/gypsummount/_core/service_times.py
@@ -10,7 +10,7 @@
 
 # Times assumed before any response, as fractions of the latency objective,
 # in the order of Familiarity.
-INITIAL_FRACTIONS = (0.45, 0.55, 1.1)
+INITIAL_FRACTIONS = (0.45, 0.55, 1.0, 1.1)
 # Upper quantile that is assumed before any response, relative to the mean.
 INITIAL_UPPER_RATIO = 1.5
 # Smallest weight of an observation; the first ones count more.
@@ -47,13 +47,14 @@
 class Familiarity(IntEnum):
     """How likely an upstream knows the object of a request.
 
-    It has answered for it recently, it is the first choice for it, or
-    neither.
+    It has answered for it recently, it is the first or the second choice
+    for it, or neither.
     """
 
     KNOWN = 0
     FIRST_CHOICE = 1
-    OTHER = 2
+    SECOND_CHOICE = 2
+    OTHER = 3
 
 
 class ClassTimes:
@@ -65,7 +66,7 @@
     __slots__ = ("_counts", "means_s", "uppers_s")
 
     def __init__(self, objective_s: float) -> None:
-        self._counts = [0, 0, 0]
+        self._counts = [0, 0, 0, 0]
         self.means_s = [
             objective_s * fraction for fraction in INITIAL_FRACTIONS
         ]
@@ -84,9 +85,10 @@
         self._move_upper(familiarity, time_s, mean_s)
         if count < FULL_COUNT:
             self._scale_unseen(mean_s / previous_s)
-        known_s, first_s, other_s = self.means_s
-        self.means_s[1] = first_s = max(known_s, first_s)
-        self.means_s[2] = max(known_s * MIN_SPREAD_RATIO, first_s, other_s)
+        known_s, first_s, second_s, other_s = self.means_s
+        first_s = max(known_s, first_s)
+        second_s = max(first_s * MIN_SPREAD_RATIO, second_s)
+        self.means_s[1:] = first_s, second_s, max(second_s, other_s)
 
     def _move_upper(
         self, familiarity: int, time_s: float, mean_s: float
--- a/src/gypsummount/_core/work_account.py
+++ b/src/gypsummount/_core/work_account.py
@@ -20,6 +20,7 @@
 AVERAGE_LIFE_S = 3.0
 # Objects that an upstream is assumed to remember.
 MAX_KNOWN_OBJECTS = 16
+KNOWN_LIFE_S = 1.5
 # Fraction of the likely work that a request still takes at least.
 MIN_REMAINING_FRACTION = 0.25
 FACTOR_WEIGHT = 0.05
@@ -53,7 +54,7 @@
         self._speed = 1.0
         self._average_speed = 1.0
         self._speed_at = float("-inf")
-        self._known: OrderedDict[int, None] = OrderedDict()
+        self._known: OrderedDict[int, float] = OrderedDict()
 
     def add(self, cost_s: float, now: float) -> None:
         """Record that a request of a likely service time (s) is sent."""
@@ -148,13 +149,14 @@
         factor = self.factor * (1 + (ratio - 1) * FACTOR_WEIGHT)
         self.factor = min(MAX_FACTOR, max(MIN_FACTOR, factor))
 
-    def knows(self, object_hash: int) -> bool:
+    def knows(self, object_hash: int, now: float) -> bool:
         """Tell whether the upstream probably remembers an object."""
-        return object_hash in self._known
+        answered_at = self._known.get(object_hash)
+        return answered_at is not None and now - answered_at < KNOWN_LIFE_S
 
-    def record_object(self, object_hash: int) -> None:
+    def record_object(self, object_hash: int, now: float) -> None:
         """Record that the upstream has answered for an object."""
-        self._known[object_hash] = None
+        self._known[object_hash] = now
         self._known.move_to_end(object_hash)
         if len(self._known) > MAX_KNOWN_OBJECTS:
             self._known.popitem(last=False)
--- a/src/gypsummount/_edge/work_choice.py
+++ b/src/gypsummount/_edge/work_choice.py
@@ -16,8 +16,8 @@
 LATE_COST_OBJECTIVES = 2.0
 # Price of the capacity that a request uses, relative to its own delay, when
 # the upstreams are busy; it falls to the lower one when they are idle.
-BUSY_PRICE = 1.0
-IDLE_PRICE = 0.1
+BUSY_PRICE = 3.0
+IDLE_PRICE = 1.0
 IDLE_UTILISATION = 0.5
 BUSY_UTILISATION = 0.9
 UTILISATION_WEIGHT = 0.4  # smoothing factor of the utilisation
@@ -25,6 +25,12 @@
 # A first choice that knows the object is taken without a look at others
 # while its machine is not slower than this.
 MAX_GOOD_SPEED = 1.15
+# Familiarity of upstreams that have not answered for the object, by position.
+BY_POSITION = (
+    Familiarity.FIRST_CHOICE,
+    Familiarity.SECOND_CHOICE,
+    Familiarity.OTHER,
+)
 NO_TARGETS: dict[str, int] = {}
 
 
@@ -121,13 +127,14 @@
             account = backend.account
             if account is None:
                 account = backend.account = self.open_account(backend)
-            if account.knows(need.object_hash):
+            if account.knows(need.object_hash, now):
                 familiarity = Familiarity.KNOWN
-            elif position == 0:
-                familiarity = Familiarity.FIRST_CHOICE
             else:
-                familiarity = Familiarity.OTHER
+                familiarity = BY_POSITION[min(position, 2)]
             estimate = load.estimate_load(now, usual_s)
+            if familiarity == Familiarity.OTHER and best is not None:
+                if not load.has_spare(estimate):
+                    continue
             cost_s = means_s[familiarity] * account.factor
             speed = account.estimate_speed(now)
             slots = load.record.slots
--- a/src/gypsummount/_edge/work_policy.py
+++ b/src/gypsummount/_edge/work_policy.py
@@ -184,7 +184,7 @@
         account = pick.backend.account
         if account is None:
             return
-        account.record_object(need.object_hash)
+        account.record_object(need.object_hash, read_monotonic())
         if not isinstance(pick, WorkPick):
             return
         if pick.backend.region != self._tools.region:
