Price capacity by how much of the load others cause

Prices fitted to one instance spread objects too much where twelve share the upstreams, and the other way round.

--- a/src/gypsummount/_core/completion_rate.py
+++ b/src/gypsummount/_core/completion_rate.py
@@ -7,7 +7,7 @@
 MIN_RATE = 0.05
 # Bounds of the time after which a refused caller is told to return.
 MIN_RETURN_S = 0.05
-MAX_RETURN_S = 2.0
+MAX_RETURN_S = 1.0
 
 
 class CompletionRate:
--- a/src/gypsummount/_core/queue_order.py
+++ b/src/gypsummount/_core/queue_order.py
@@ -10,7 +10,7 @@
 from gypsummount._core.fair_usage import FairUsage
 
 # Part of the completions that goes to late requests while others wait.
-LATE_FRACTION = 0.05
+LATE_FRACTION = 0.03
 MAX_LATE_CREDIT = 2.0
 
 QueueKey = tuple[bool, int, int, bool, float]
--- a/src/gypsummount/_edge/work_choice.py
+++ b/src/gypsummount/_edge/work_choice.py
@@ -16,8 +16,11 @@
 LATE_COST_OBJECTIVES = 2.0
 # Price of the capacity that a request uses, relative to its own delay, when
 # the upstreams are busy; it falls to the lower one when they are idle.
-BUSY_PRICE = 3.0
-IDLE_PRICE = 1.0
+BUSY_PRICE = 1.5
+IDLE_PRICE = 0.5
+# Added to both where all requests at the upstreams are other instances', of
+# which this one knows neither the number nor the objects exactly.
+OTHERS_PRICE = 2.0
 IDLE_UTILISATION = 0.5
 BUSY_UTILISATION = 0.9
 UTILISATION_WEIGHT = 0.4  # smoothing factor of the utilisation
@@ -71,6 +74,7 @@
         self._tools = tools
         self._times = times
         self._price = 1 + IDLE_PRICE
+        self._others = 0.0
         self.utilisation = 0.0
 
     def update(self, now: float) -> None:
@@ -78,20 +82,29 @@
         usual_s = self._times.usual_s
         slots = 0
         used = 0.0
+        own = 0
         for backend in self._state.by_region.get(self._tools.region, ()):
             load = backend.load
             slots += load.record.slots
             estimate = load.estimate_load(now, usual_s)
             used += min(estimate, load.record.slots)
+            own += load.in_flight
         if not slots:
             return
+        others = max(0.0, 1 - own / used) if used > 0 else 0.0
+        self._others += (others - self._others) * UTILISATION_WEIGHT
         gap = used / slots - self.utilisation
         self.utilisation += gap * UTILISATION_WEIGHT
         busy = (self.utilisation - IDLE_UTILISATION) / (
             BUSY_UTILISATION - IDLE_UTILISATION
         )
         busy = min(1.0, max(0.0, busy))
-        self._price = 1 + IDLE_PRICE + (BUSY_PRICE - IDLE_PRICE) * busy
+        self._price = (
+            1
+            + IDLE_PRICE
+            + (BUSY_PRICE - IDLE_PRICE) * busy
+            + OTHERS_PRICE * self._others
+        )
 
     def choose(
         self,
@@ -100,10 +113,12 @@
         tried: frozenset[str],
         targets: dict[str, int],
         now: float,
+        first_position: int = 0,
     ) -> WorkPick | None:
         """Return the upstream with the lowest expected cost, or None.
 
-        ``candidates`` are in the order of the object.  The upstream may
+        ``candidates`` are in the order of the object, in which the first
+        of them has the position ``first_position``.  The upstream may
         have no room yet.  ``targets`` are the numbers of requests that
         wait for each upstream and go before this one.
         """
@@ -115,7 +130,7 @@
         late_cost_s = need.objective_s * LATE_COST_OBJECTIVES
         best: WorkPick | None = None
         best_total_s = 0.0
-        position = -1
+        position = first_position - 1
         for backend in candidates:
             load = backend.load
             if not backend.fits(need, tried) or not load.is_available(now):
--- a/src/gypsummount/_edge/work_policy.py
+++ b/src/gypsummount/_edge/work_policy.py
@@ -39,9 +39,9 @@
 LATE_UTILISATION = 0.85
 # Fraction of the measured completion rate above which the wait that it
 # suggests is taken for longer than the estimate of the accounts.
-RATE_MARGIN = 1.25
+RATE_MARGIN = 2.0
 # Waiting requests for other upstreams that are offered a free slot.
-MAX_EXAMINED = 8
+MAX_EXAMINED = 3
 MAX_RATIO = 10.0
 REFUSAL_LINES_PER_S = 0.5
 MS_PER_S = 1000
@@ -107,9 +107,7 @@
         limit_s = self._compute_limit(pick, need, deadline, now)
         if limit_s <= 0:
             raise self._refuse(need, pick.wait_s, now, is_early=True)
-        found = await self._queue.wait(
-            need, tried, entry, pick.backend, now, limit_s
-        )
+        found = await self._queue.wait(need, tried, entry, pick, now, limit_s)
         if found is not None:
             return found
         return self._start_late(need, tried, entry, now)
@@ -147,7 +145,7 @@
                 if not is_late:
                     self._queue.settle(waiter, None)
                     continue
-            waiter.target = pick.backend
+            waiter.target = pick
             ahead[pick.backend.record.name] += 1
             self._expected_wait_s = max(self._expected_wait_s, wait_s)
 
@@ -339,13 +337,22 @@
                 break
             if found is not None and waiter.key[:-1] != found.key[:-1]:
                 break
-            is_target = waiter.target is backend
-            if not is_target:
+            target = waiter.target
+            if target.backend is backend:
+                pick = self._chooser.choose(
+                    (backend,),
+                    waiter.need,
+                    waiter.tried,
+                    ahead,
+                    now,
+                    target.position,
+                )
+            elif examined < MAX_EXAMINED:
                 examined += 1
-                if examined > MAX_EXAMINED:
-                    continue
-            pick = self._choose_with(waiter.need, waiter.tried, ahead, now)
-            ahead[waiter.target.record.name] += 1
+                pick = self._choose_with(waiter.need, waiter.tried, ahead, now)
+            else:
+                continue
+            ahead[target.backend.record.name] += 1
             if pick is None or pick.backend is not backend:
                 continue
             if not self._may_start(pick, waiter.need, now):
--- a/src/gypsummount/_edge/work_queue.py
+++ b/src/gypsummount/_edge/work_queue.py
@@ -11,7 +11,6 @@
 from gypsummount._core.queue_order import QueueEntry
 from gypsummount._core.queue_order import QueueKey
 from gypsummount._core.queue_order import QueueOrder
-from gypsummount._edge.backends import Backend
 from gypsummount._edge.backends import Need
 from gypsummount._edge.waiting import Pick
 
@@ -22,15 +21,15 @@
 class Waiter:
     """A waiting request.
 
-    ``target`` is the upstream that is expected to be best for it, and
-    ``key`` its place in the order when that was last computed.
+    ``target`` is the pick that was expected to be best for it, and ``key``
+    its place in the order, when each was last computed.
     """
 
     need: Need
     tried: frozenset[str]
     entry: QueueEntry
     assigned: Future[Pick | None]
-    target: Backend
+    target: Pick
     key: QueueKey
 
 
@@ -61,7 +60,7 @@
     def count_targets(self, key: QueueKey) -> Counter[str]:
         """Return how many requests before ``key`` wait for each upstream."""
         return Counter(
-            waiter.target.record.name
+            waiter.target.backend.record.name
             for waiter in self._waiting
             if waiter.key <= key
         )
@@ -71,7 +70,7 @@
         need: Need,
         tried: frozenset[str],
         entry: QueueEntry,
-        target: Backend,
+        target: Pick,
         now: float,
         limit_s: float,
     ) -> Pick | None:
