Test both policies under the same loads; show the queues as metrics

Loads in virtual time: twice the capacity for 3 s, one workspace at five times its demand, priorities, uploads that spill over, a slow machine and returning callers. They showed faults that are mended here: late requests waited for a busy upstream while another had a free slot, a recovered machine was avoided for seconds, refused callers returned together where no completion was measured, and a surge just after a start passed for usual.

--- a/src/gypsummount/_core/completion_rate.py
+++ b/src/gypsummount/_core/completion_rate.py
@@ -8,6 +8,8 @@
 # Bounds of the time after which a refused caller is told to return.
 MIN_RETURN_S = 0.05
 MAX_RETURN_S = 1.0
+# Multiples of the golden ratio are spread evenly, however many there are.
+SPREAD_STEP = 0.618034
 
 
 class CompletionRate:
@@ -39,10 +41,11 @@
     that callers return at the rate at which they can be served.
     """
 
-    __slots__ = ("_booked_until",)
+    __slots__ = ("_booked_until", "_fraction")
 
     def __init__(self) -> None:
         self._booked_until = float("-inf")
+        self._fraction = 0.0
 
     def book(self, wait_s: float, rate: float, now: float) -> float:
         """Return the seconds after which a refused caller is to return.
@@ -50,10 +53,12 @@
         ``wait_s`` is the expected wait for capacity and ``rate`` the
         completion rate (1/s).
         """
-        at = max(self._booked_until, now + max(MIN_RETURN_S, wait_s))
+        earliest_s = max(MIN_RETURN_S, min(wait_s, 0.5 * MAX_RETURN_S))
+        at = max(self._booked_until, now + earliest_s)
         at += 1 / max(MIN_RATE, rate)
-        if at > now + MAX_RETURN_S:
-            # Starts again at the earliest time, as the latest one is full.
-            at = now + max(MIN_RETURN_S, min(wait_s, MAX_RETURN_S))
-        self._booked_until = at
-        return at - now
+        if at <= now + MAX_RETURN_S:
+            self._booked_until = at
+            return at - now
+        # More are refused than can be served later: spread them evenly.
+        self._fraction = (self._fraction + SPREAD_STEP) % 1.0
+        return earliest_s + (MAX_RETURN_S - earliest_s) * self._fraction
--- a/src/gypsummount/_core/fair_usage.py
+++ b/src/gypsummount/_core/fair_usage.py
@@ -5,6 +5,9 @@
 # Time constant of the recent use, and of the usual share.
 RECENT_SPAN_S = 2.0
 USUAL_SPAN_S = 60.0
+# Until the use is known for this long, the usual shares count in part, so
+# that a surge just after a start does not pass for usual.
+FULL_HISTORY_S = 20.0
 # The excess over its usual share that a user may take while others wait.
 USUAL_MARGIN = 1.25
 # Smaller fractions of the recent use do not count as use.
@@ -57,10 +60,12 @@
             if use >= total * MIN_FRACTION
         }
         equal = 1 / len(shares) if shares else 1.0
+        history = min(1.0, (now - self._started_at) / FULL_HISTORY_S)
+        margin = USUAL_MARGIN * history
         exceeding = [
             name
             for name, share in shares.items()
-            if share > max(equal, self._usual.get(name, 0.0) * USUAL_MARGIN)
+            if share > max(equal, self._usual.get(name, 0.0) * margin)
         ]
         self.exceeding = frozenset(exceeding)
         self._update_usual(shares, now)
--- a/src/gypsummount/_core/work_account.py
+++ b/src/gypsummount/_core/work_account.py
@@ -14,10 +14,10 @@
 # The last figure counts less as it ages and not at all after this time;
 # the average of the upstream's figures takes its place.
 FIGURE_LIFE_S = 0.6
-AVERAGE_WEIGHT = 0.1
+AVERAGE_WEIGHT = 0.25
 # After this time without figures the upstream counts as one of normal speed,
 # so that it is tried again.
-AVERAGE_LIFE_S = 3.0
+AVERAGE_LIFE_S = 2.0
 # Objects that an upstream is assumed to remember.
 MAX_KNOWN_OBJECTS = 16
 KNOWN_LIFE_S = 1.5
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -167,6 +167,7 @@
             self._gossip,
             self._tokens,
             self._bodies,
+            self._selection,
         )
 
     @property
--- a/src/gypsummount/_edge/status.py
+++ b/src/gypsummount/_edge/status.py
@@ -10,6 +10,7 @@
 from gypsummount._edge.gossip import Gossip
 from gypsummount._edge.peers import Peers
 from gypsummount._edge.replica import Replica
+from gypsummount._edge.selection import Selection
 from gypsummount._edge.store_reader import StoreReader
 from gypsummount._edge.tokens import Tokens
 
@@ -34,7 +35,9 @@
         gossip: Gossip,
         tokens: Tokens,
         bodies: BodyAccount,
+        selection: Selection,
     ) -> None:
+        self._selection = selection
         self._bodies = bodies
         self._metrics = metrics
         self._loop_timer = loop_timer
@@ -70,8 +73,22 @@
             "workspaces_owned": float(self._tokens.count_owned()),
             "token_requests_unanswered": float(self._tokens.unanswered),
         }
+        gauges.update(self._list_queue_gauges())
         return write_exposition(self._metrics, gauges, now)
 
+    def _list_queue_gauges(self) -> dict[str, float]:
+        """Return the figures of the services' queues, if any are kept."""
+        gauges = {}
+        for service, report in self._selection.list_queues().items():
+            label = f'{{service="{service}"}}'
+            gauges |= {
+                f"queue_waiting{label}": float(report.waiting),
+                f"queue_wait_seconds{label}": report.expected_wait_s,
+                f"queue_refused_early{label}": float(report.refused_early),
+                f"queue_refused_late{label}": float(report.refused_late),
+            }
+        return gauges
+
     def log_delay(self, delay_s: float) -> None:
         """Log how late (s) a step ran, as in a busy or suspended process."""
         if delay_s <= MIN_LOGGED_DELAY_S:
--- a/src/gypsummount/_edge/work_choice.py
+++ b/src/gypsummount/_edge/work_choice.py
@@ -23,6 +23,8 @@
 OTHERS_PRICE = 2.0
 IDLE_UTILISATION = 0.5
 BUSY_UTILISATION = 0.9
+# Utilisation up to which late requests get free slots without a turn.
+LATE_UTILISATION = 0.7
 UTILISATION_WEIGHT = 0.4  # smoothing factor of the utilisation
 MAX_PREFERRED = 2  # upstreams that an object prefers to all others
 # A first choice that knows the object is taken without a look at others
@@ -128,6 +130,7 @@
         usual_s = self._times.usual_s
         remaining_s = need.due_at - now
         late_cost_s = need.objective_s * LATE_COST_OBJECTIVES
+        has_spare = self.utilisation < LATE_UTILISATION
         best: WorkPick | None = None
         best_total_s = 0.0
         position = first_position - 1
@@ -166,6 +169,9 @@
             total_s += cost_s * speed * (self._price - 1)
             if is_late:
                 total_s += late_cost_s
+                if estimate + 1 > slots and has_spare:
+                    # Late requests get free slots alone.
+                    total_s += need.objective_s
             if best is not None and total_s >= best_total_s:
                 continue
             if not self._tools.cold_limits.permits(backend, usual_s, now):
--- a/src/gypsummount/_edge/work_policy.py
+++ b/src/gypsummount/_edge/work_policy.py
@@ -22,6 +22,7 @@
 from gypsummount._edge.selection_policy import SelectionPolicy
 from gypsummount._edge.waiting import Pick
 from gypsummount._edge.wire import LoadReport
+from gypsummount._edge.work_choice import LATE_UTILISATION
 from gypsummount._edge.work_choice import NO_TARGETS
 from gypsummount._edge.work_choice import WorkChooser
 from gypsummount._edge.work_choice import WorkPick
@@ -35,11 +36,12 @@
 # A waiting request is refused when its expected answer is later than due by
 # this fraction of the objective; a new one when it is late at all.
 REFUSAL_MARGIN = 0.1
-# Utilisation up to which late requests get free slots without a turn.
-LATE_UTILISATION = 0.85
 # Fraction of the measured completion rate above which the wait that it
 # suggests is taken for longer than the estimate of the accounts.
 RATE_MARGIN = 2.0
+# Callers of late requests that are refused return after this time at least,
+# as free slots go to others first.
+LATE_RETURN_S = 0.5
 # Waiting requests for other upstreams that are offered a free slot.
 MAX_EXAMINED = 3
 MAX_RATIO = 10.0
@@ -389,6 +391,8 @@
             self._refused_early += 1
         else:
             self._refused_late += 1
+        if now > need.due_at:
+            wait_s = max(wait_s, LATE_RETURN_S)
         rate = self._rate.read(now)
         error = build_no_capacity(need)
         error.retry_after_s = self._returns.book(wait_s, rate, now)
--- a/tests/edge/peak_load.py
+++ b/tests/edge/peak_load.py
@@ -21,6 +21,7 @@
 from gypsummount._core.freshness import FreshnessProof
 from gypsummount._core.placement import hash_object
 from gypsummount._core.slow_start import SlowStartPlan
+from gypsummount._edge import selection_policy
 from gypsummount._edge.backends import Need
 from gypsummount._edge.probing import Prober
 from gypsummount._edge.replica import Replica
@@ -266,6 +267,7 @@
     loop = VirtualLoop()
     with pytest.MonkeyPatch.context() as patches:
         patches.setattr(clocks, "clock_gettime", lambda _: loop.now)
+        patches.setattr(selection_policy, "random", Random(seed).random)
         try:
 
             async def run():
--- /dev/null
+++ b/tests/edge/test_work_policy.py
@@ -0,0 +1,427 @@
+"""The two selection policies side by side under the same loads."""
+
+from asyncio import ensure_future
+from asyncio import sleep
+from asyncio import wait
+from dataclasses import replace
+import logging
+
+import pytest
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._edge.backends import Need
+from gypsummount._edge.waiting import WaitingQueue
+from gypsummount._edge.wire import LoadReport
+from gypsummount._edge.work_policy import EARLY_FRACTION
+from gypsummount.errors import NoCapacity
+from tests.edge import peak_load
+from tests.edge.peak_load import create_upstreams
+from tests.edge.peak_load import Stream
+from tests.edge.peak_load import total
+
+# Requests per second that eight upstreams of four slots serve when most
+# objects are known.
+CAPACITY = 300.0
+DURATION_S = 11.0
+PEAK_START_S = 6.0
+PEAK_END_S = 9.0
+SEEDS = (1, 2)
+
+
+def keep(rate):
+    return lambda at: rate
+
+
+def rise(usual, peak):
+    """Return a rate that rises for three seconds."""
+    return lambda at: peak if PEAK_START_S < at < PEAK_END_S else usual
+
+
+def surge(usual, rate):
+    """Return a rate that stays high from the fifth second on."""
+    return lambda at: rate if at > 5 else usual
+
+
+def play_both(streams, *, instances, upstreams=None, seeds=SEEDS):
+    """Return the scores under the existing policy and under the new one."""
+    logging.disable(logging.INFO)
+    try:
+        results = []
+        for with_speed in (False, True):
+            merged = {}
+            for seed in seeds:
+                scores = peak_load.play(
+                    streams,
+                    DURATION_S,
+                    with_speed=with_speed,
+                    upstreams=upstreams,
+                    instances=instances,
+                    seed=seed,
+                )
+                for key, score in scores.items():
+                    merged.setdefault(key, []).append(score)
+            results.append(
+                {
+                    key: total(dict(enumerate(scores)))
+                    for key, scores in merged.items()
+                }
+            )
+        return results
+    finally:
+        logging.disable(logging.NOTSET)
+
+
+def get_share(score):
+    return score.on_time / score.callers
+
+
+def check_better(old, new):
+    """Check that more callers are served on time, and report both."""
+    old_share = get_share(total(old))
+    new_share = get_share(total(new))
+    print(f"on time: {old_share:.3f} before, {new_share:.3f} now")
+    assert new_share > old_share
+
+
+def get_quantile(values, fraction):
+    return sorted(values)[int(len(values) * fraction)]
+
+
+class TestShortPeak:
+    """Load: twice the capacity for three seconds, 12 instances."""
+
+    STREAMS = [Stream("w", rise(140.0, 400.0))]
+
+    def test_more_are_on_time_and_refusals_come_early(self):
+        """Guards against queues that use capacity for late requests."""
+        old, new = play_both(self.STREAMS, instances=12)
+        check_better(old, new)
+        held = get_quantile(total(new).held_s, 0.5)
+        assert held <= 1.1 * EARLY_FRACTION
+        assert held < get_quantile(total(old).held_s, 0.5)
+        late = total(new).late
+        assert 0 < late < total(old).late
+
+    def test_load_within_capacity_is_served_as_well(self):
+        """Guards against refusals while there is room."""
+        _, new = play_both([Stream("w", keep(140.0))], instances=3)
+        score = total(new)
+        assert get_share(score) > 0.97
+        assert score.refused == 0
+
+
+class TestWorkspaceSurge:
+    """Load: one of five workspaces at five times its usual demand."""
+
+    STREAMS = [
+        Stream("w0", surge(40.0, 200.0)),
+        *[Stream(f"w{number}", keep(40.0)) for number in range(1, 5)],
+    ]
+
+    @pytest.mark.parametrize("instances", [1, 12])
+    def test_others_are_not_crowded_out(self, instances):
+        """Guards against one workspace that takes the others' capacity."""
+        old, new = play_both(self.STREAMS, instances=instances)
+        for number in range(1, 5):
+            key = (f"w{number}", "r")
+            assert get_share(new[key]) > get_share(old[key]) + 0.05
+            assert get_share(new[key]) > get_share(new["w0", "r"])
+        # The surging workspace still gets its fair share.
+        assert get_share(new["w0", "r"]) > 0.5
+        if instances > 1:
+            check_better(old, new)
+
+
+class TestPriorities:
+    """Load: three workspace priorities, twice the capacity for 3 s."""
+
+    STREAMS = [
+        Stream("high", rise(30.0, 80.0), priority=0),
+        Stream("middle", rise(55.0, 160.0), priority=1),
+        Stream("low", rise(55.0, 160.0), priority=2),
+    ]
+
+    def test_higher_priorities_are_served_better(self):
+        """Guards against an order by arrival, and against starvation.
+
+        One instance has all waiting requests in its queue.
+        """
+        old, new = play_both(self.STREAMS, instances=1)
+        shares = [
+            get_share(new[name, "r"]) for name in ("high", "middle", "low")
+        ]
+        assert shares == sorted(shares, reverse=True)
+        assert shares[0] > 0.99
+        assert shares[2] > 0.3
+
+    def test_many_instances_serve_every_priority_better(self):
+        old, new = play_both(self.STREAMS, instances=12)
+        check_better(old, new)
+        for key in new:
+            assert get_share(new[key]) > get_share(old[key])
+
+
+class TestUploads:
+    """Load: uploads of another service spill over from the fifth second.
+
+    They take four times as long as the other requests.
+    """
+
+    STREAMS = [
+        Stream("w", keep(150.0)),
+        Stream(
+            "w",
+            surge(1.0, 30.0),
+            work_s=1.2,
+            objective_s=2.0,
+            route="upload",
+            objects=40,
+            patience_s=5.0,
+            body_class=4,
+        ),
+    ]
+
+    @pytest.mark.parametrize("instances", [1, 12])
+    def test_neither_route_is_starved(self, instances):
+        """Guards against long requests that starve the short ones."""
+        old, new = play_both(self.STREAMS, instances=instances)
+        check_better(old, new)
+        assert get_share(new["w", "r"]) > get_share(old["w", "r"])
+        uploads = new["w", "upload"]
+        assert get_share(uploads) > 0.5
+
+
+class TestSlowUpstream:
+    """Load: one of eight machines takes four times as long."""
+
+    def create(self, random):
+        upstreams = create_upstreams(random)
+        upstreams[0].read_speed = lambda now: 400
+        return upstreams
+
+    @pytest.mark.parametrize("instances", [1, 12])
+    def test_slow_upstream_gets_less(self, instances):
+        """Guards against a machine whose share of requests all come late."""
+        old, new = play_both(
+            [Stream("w", keep(170.0))],
+            instances=instances,
+            upstreams=self.create,
+        )
+        check_better(old, new)
+
+    def test_recovered_upstream_gets_more_again(self):
+        """Guards against a machine that is avoided for ever."""
+        made = []
+
+        def create(random):
+            made[:] = self.create(random)
+            made[0].read_speed = lambda now: 400 if now < 1005 else 100
+            return made
+
+        play_both([Stream("w", keep(170.0))], instances=3, upstreams=create)
+        served = [upstream.served for upstream in made]
+        assert served[0] > 0.3 * sum(served) / len(served)
+
+
+class TestReturningCallers:
+    """Load: callers that come back for 3 s after refusals in a peak."""
+
+    STREAMS = [Stream("w", rise(140.0, 400.0), patience_s=3.0)]
+
+    def test_more_are_on_time_with_fewer_attempts(self):
+        """Guards against callers that return before there is capacity."""
+        old, new = play_both(self.STREAMS, instances=12)
+        check_better(old, new)
+        assert total(new).attempts < total(old).attempts
+
+
+class _Region(peak_load.Region):
+    """One instance whose upstreams all report their speed."""
+
+    def __init__(self, *, in_flight):
+        super().__init__(
+            [
+                peak_load.FakeUpstream(f"u{number}", 4, lambda now: 100)
+                for number in range(3)
+            ],
+            1,
+            1,
+            with_speed=True,
+        )
+        self.selection = self.selections[0]
+        now = read_monotonic()
+        for backend in self.selection._backends:
+            report = LoadReport(0, 0, 100)
+            self.selection.record_load(backend, report, now)
+            backend.load.in_flight = in_flight
+        for _ in range(10):
+            self.selection.update()
+
+    def build_need(self, *, due_s=0.3, **options):
+        due_at = read_monotonic() + due_s
+        need = Need(
+            "s", frozenset(), frozenset(), 7, 100, due_at, 0.3, "r", "w"
+        )
+        return replace(need, **options)
+
+    def begin(self, need):
+        deadline = read_monotonic() + 5.0
+        return ensure_future(
+            self.selection.acquire(need, frozenset(), deadline)
+        )
+
+    def free_slots(self):
+        """Let every upstream report that it is idle."""
+        now = read_monotonic()
+        for backend in self.selection._backends:
+            backend.load.in_flight = 0
+        for backend in self.selection._backends:
+            report = LoadReport(0, 0, 100)
+            self.selection.record_load(backend, report, now)
+
+    def close(self):
+        self.selection.close()
+
+
+@pytest.fixture
+def busy():
+    """A region in which a slot frees in a moment."""
+    created = _Region(in_flight=5)
+    yield created
+    created.close()
+
+
+@pytest.fixture
+def overloaded():
+    """A region in which no slot frees for long."""
+    created = _Region(in_flight=12)
+    yield created
+    created.close()
+
+
+class TestEarlyRefusal:
+    async def test_request_without_hope_is_refused_at_once(self, overloaded):
+        """Guards against callers that are held and refused in the end."""
+        request = overloaded.begin(overloaded.build_need())
+        await sleep(0.01)
+        assert request.done()
+        with pytest.raises(NoCapacity) as raised:
+            await request
+        assert 0.05 <= raised.value.retry_after_s <= 1.0
+        report = overloaded.selection.list_queues()["s"]
+        assert report.refused_early == 1
+
+    async def test_refused_callers_return_at_different_times(self, overloaded):
+        """Guards against refused callers that come back all at once."""
+        times = set()
+        for _ in range(5):
+            with pytest.raises(NoCapacity) as raised:
+                await overloaded.begin(overloaded.build_need())
+            times.add(round(raised.value.retry_after_s, 4))
+        assert len(times) > 1
+
+    async def test_check_before_the_token_refuses_as_well(self, overloaded):
+        """Guards against tokens of requests that find no capacity."""
+        need = overloaded.build_need()
+        with pytest.raises(NoCapacity):
+            overloaded.selection.check_capacity(need, need.due_at + 5.0)
+
+    async def test_late_request_is_not_held_long(self, overloaded):
+        need = overloaded.build_need(due_s=-1.0)
+        began = read_monotonic()
+        with pytest.raises(NoCapacity):
+            await overloaded.begin(need)
+        assert read_monotonic() - began < 2 * EARLY_FRACTION * 0.3 + 0.05
+
+
+class TestQueueOrder:
+    async def test_late_request_waits_behind_one_that_can_be_on_time(
+        self, busy
+    ):
+        """Guards against slots that late requests take from others."""
+        late = busy.begin(busy.build_need(due_s=-1.0))
+        await sleep(0)
+        good = busy.begin(busy.build_need())
+        await sleep(0)
+        backends = list(busy.selection._backends)
+        for backend in backends:
+            backend.load.in_flight = 4
+        busy.selection.release(backends[0])
+        busy.selection.update()
+        await sleep(0.01)
+        assert good.done() and not late.done()
+        late.cancel()
+        await wait({late})
+
+    async def test_returning_caller_goes_first(self, busy):
+        new = busy.begin(busy.build_need(due_s=0.29))
+        await sleep(0)
+        again = busy.begin(busy.build_need(is_returning=True))
+        await sleep(0)
+        policy = busy.selection._policies["s"]
+        ordered = policy._queue.sort(read_monotonic())
+        assert [waiter.need.is_returning for waiter in ordered] == [
+            True,
+            False,
+        ]
+        for request in (new, again):
+            request.cancel()
+        await wait({new, again})
+
+    async def test_pick_of_a_disconnected_caller_is_released(self, busy):
+        """Guards against slots that are counted as used for ever."""
+        request = busy.begin(busy.build_need())
+        await sleep(0)
+        assert not request.done()
+        busy.free_slots()
+        request.cancel()
+        await wait({request})
+        assert [
+            backend.load.in_flight for backend in busy.selection._backends
+        ] == [0, 0, 0]
+
+
+class TestServicesWithoutSpeed:
+    async def test_existing_policy_stays_without_the_figure(self):
+        """Guards against a change for services that report no speed."""
+        region = peak_load.Region(
+            [peak_load.FakeUpstream("u0", 4, lambda now: 100)],
+            1,
+            1,
+            with_speed=False,
+        )
+        selection = region.selections[0]
+        for backend in selection._backends:
+            report = LoadReport(1, 0)
+            selection.record_load(backend, report, read_monotonic())
+        policy = selection._policies["s"]
+        assert not policy.uses_speed
+        assert isinstance(policy._waiting, WaitingQueue)
+        assert selection.list_queues() == {}
+        selection.close()
+
+    async def test_requests_that_waited_before_the_figure_are_served(self):
+        """Guards against requests lost when the policy changes."""
+        region = peak_load.Region(
+            [peak_load.FakeUpstream("u0", 4, lambda now: 100)],
+            1,
+            1,
+            with_speed=True,
+        )
+        selection = region.selections[0]
+        backend = next(iter(selection._backends))
+        backend.load.in_flight = 8
+        now = read_monotonic()
+        need = Need(
+            "s", frozenset(), frozenset(), 7, 1, now + 5.0, 5.0, "r", "w"
+        )
+        waiting = ensure_future(
+            selection.acquire(need, frozenset(), now + 5.0)
+        )
+        await sleep(0)
+        selection.record_load(backend, LoadReport(0, 0, 100), now)
+        backend.load.in_flight = 1
+        selection.release(backend)
+        await sleep(0.01)
+        assert waiting.done()
+        selection.close()
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -13,6 +13,7 @@
 from gypsummount._edge.digests import ECHO_FORMAT
 from gypsummount._edge.store_feed import Kind
 from gypsummount._edge.store_feed import Record
+from gypsummount._edge.wire import LoadReport
 from gypsummount._entry.exchanges import UpstreamAnswer
 from gypsummount.errors import RecordInvalid
 from gypsummount.platform.documents import decode_record
@@ -217,6 +218,34 @@
             assert verdict.load.running >= 0
 
 
+class TestSpeed:
+    @pytest.fixture
+    def wire(self):
+        return PlatformWire()
+
+    def read(self, wire, text):
+        headers = [Header("Gypsummount-Server-Load", text)]
+        answer = UpstreamAnswer(200, "OK", headers, b"")
+        return wire.read_verdict(answer).load
+
+    def test_fourth_figure_is_the_speed(self, wire):
+        assert self.read(wire, "3,0,8,135") == LoadReport(3, 0, 135)
+        assert self.read(wire, "3,1,8") == LoadReport(3, 1)
+        assert self.read(wire, "3,1") == LoadReport(3, 1)
+
+    @pytest.mark.parametrize("figure", ["0", "999999", "1" * 12])
+    def test_speed_out_of_range_is_ignored(self, wire, figure):
+        """Guards against machines that seem idle or stopped."""
+        assert self.read(wire, f"3,0,8,{figure}") == LoadReport(3, 0)
+
+    @pytest.mark.parametrize(
+        "text", ["3,0,8,x", "3,0,8,-5", "3,0,8,1.5", "9" * 5000 + ",0"]
+    )
+    def test_malformed_header_changes_nothing(self, wire, text):
+        """Guards against exceptions in the middle of an exchange."""
+        assert self.read(wire, text) is None
+
+
 class TestHolds:
     @pytest.fixture
     def wire(self):
