--- a/src/gypsummount/_edge/selection.py
+++ b/src/gypsummount/_edge/selection.py
@@ -25,6 +25,7 @@
 from gypsummount._edge.waiting import Pick
 from gypsummount._edge.wire import LoadReport
 from gypsummount._edge.work_policy import WorkPolicy
+from gypsummount.errors import NoCapacity
 
 DEMAND_WEIGHT = 0.3  # smoothing factor of the average demand
 MIN_DEMAND_PER_S = 1.0
@@ -173,8 +174,14 @@
         :raises NoCapacity: if none is, as far as is known.
         """
         policy = self._policies.get(need.service)
-        if policy is not None and policy.uses_speed:
+        if policy is None or not policy.uses_speed:
+            return
+        try:
             policy.check_capacity(need, deadline, read_monotonic())
+        except NoCapacity:
+            # Refused requests are demand, as those refused later are.
+            policy.state.new_requests += 1
+            raise
 
     def list_queues(self) -> dict[str, QueueReport]:
         """Return the figures of the queues that are kept, by service."""
--- a/src/gypsummount/_edge/work_policy.py
+++ b/src/gypsummount/_edge/work_policy.py
@@ -4,10 +4,7 @@
 from typing import final
 
 from gypsummount._common.clocks import read_monotonic
-from gypsummount._common.line_limiter import LineLimiter
 from gypsummount._common.logs import get_logger
-from gypsummount._core.completion_rate import CompletionRate
-from gypsummount._core.completion_rate import ReturnTimes
 from gypsummount._core.queue_order import QueueEntry
 from gypsummount._core.queue_order import QueueKey
 from gypsummount._core.queue_order import QueueOrder
@@ -16,6 +13,7 @@
 from gypsummount._core.work_account import WorkAccount
 from gypsummount._edge.backends import Backend
 from gypsummount._edge.backends import Need
+from gypsummount._edge.refusals import Refusals
 from gypsummount._edge.selection_policy import build_no_capacity
 from gypsummount._edge.selection_policy import PolicyTools
 from gypsummount._edge.selection_policy import QueueReport
@@ -39,14 +37,9 @@
 # Fraction of the measured completion rate above which the wait that it
 # suggests is taken for longer than the estimate of the accounts.
 RATE_MARGIN = 2.0
-# Callers of late requests that are refused return after this time at least,
-# as free slots go to others first.
-LATE_RETURN_S = 0.5
 # Waiting requests for other upstreams that are offered a free slot.
 MAX_EXAMINED = 3
 MAX_RATIO = 10.0
-REFUSAL_LINES_PER_S = 0.5
-MS_PER_S = 1000
 NONE_TRIED: frozenset[str] = frozenset()
 
 _log = get_logger("selection")
@@ -70,19 +63,14 @@
         now: float,
     ) -> None:
         super().__init__(previous.state, tools)
-        self._service = service
         self._previous = previous
         self._times = ServiceTimes(previous.state.work.first_s)
         self._chooser = WorkChooser(previous.state, tools, self._times)
         self._order = QueueOrder(now)
         self._queue = WorkQueue(self._order, tools.release_pick)
-        self._rate = CompletionRate(now)
-        self._returns = ReturnTimes()
+        self._refusals = Refusals(service, now)
         self._targets: dict[str, int] = NO_TARGETS
-        self._lines = LineLimiter(REFUSAL_LINES_PER_S, now)
         self._expected_wait_s = 0.0
-        self._refused_early = 0
-        self._refused_late = 0
         _log.info(
             "Upstreams of %s are selected by their work: they report speed.",
             service,
@@ -98,10 +86,8 @@
         """
         entry = self._describe(need)
         pick = self._choose_for(need, tried, entry, now)
-        if pick is not None and self._may_start(pick, need, now):
-            if not len(self._queue) or not self._give(
-                pick.backend, now, self._order.compute_key(entry, now)
-            ):
+        while pick is not None and self._may_start(pick, need, now):
+            if not self._give_before(entry, pick.backend, now):
                 return self._start(pick, need, entry, now)
             pick = self._choose_for(need, tried, entry, now)
         if pick is None:
@@ -120,7 +106,7 @@
             backend.account.remove(pick.cost_s, pick.started_at)
         elif pick is None and backend.account is not None:
             backend.account.remove_average()
-        self._rate.record(now)
+        self._refusals.rate.record(now)
         self._order.record_completion()
         self._previous.release(backend, pick, now)
         self._serve(backend, now)
@@ -131,7 +117,7 @@
         self._chooser.update(now)
         self._order.update(now)
         ahead: Counter[str] = Counter()
-        rate = self._rate.read(now)
+        rate = self._refusals.rate.read(now)
         self._expected_wait_s = 0.0
         for waiter in self._queue.sort(now):
             pick = self._choose_with(waiter.need, waiter.tried, ahead, now)
@@ -196,8 +182,8 @@
         return QueueReport(
             len(self._queue),
             self._expected_wait_s,
-            self._refused_early,
-            self._refused_late,
+            self._refusals.early,
+            self._refusals.late,
         )
 
     def _learn(
@@ -316,6 +302,15 @@
         is_early = now - since <= need.objective_s * EARLY_FRACTION
         raise self._refuse(need, wait_s, now, is_early=is_early)
 
+    def _give_before(
+        self, entry: QueueEntry, backend: Backend, now: float
+    ) -> bool:
+        """Give a slot to a waiting request that goes before a new one."""
+        if not len(self._queue):
+            return False
+        key = self._order.compute_key(entry, now)
+        return self._give(backend, now, key)
+
     def _serve(self, backend: Backend, now: float) -> None:
         """Give an upstream's free slots to waiting requests."""
         while len(self._queue) and self._give(backend, now, None):
@@ -378,7 +373,9 @@
         if spare_s <= 0:
             return min(latest_s, need.objective_s * EARLY_FRACTION)
         ahead = len(self._queue)
-        measured_s = _divide(ahead, self._rate.read(now) * RATE_MARGIN)
+        measured_s = _divide(
+            ahead, self._refusals.rate.read(now) * RATE_MARGIN
+        )
         if max(pick.wait_s, measured_s) > min(spare_s, latest_s):
             return 0.0
         return min(spare_s, latest_s)
@@ -387,30 +384,9 @@
         self, need: Need, wait_s: float, now: float, *, is_early: bool
     ) -> NoCapacity:
         """Return the error that tells when capacity will be available."""
-        if is_early:
-            self._refused_early += 1
-        else:
-            self._refused_late += 1
-        if now > need.due_at:
-            wait_s = max(wait_s, LATE_RETURN_S)
-        rate = self._rate.read(now)
-        error = build_no_capacity(need)
-        error.retry_after_s = self._returns.book(wait_s, rate, now)
-        if self._lines.try_take(now):
-            _log.info(
-                "A request to %s is refused: no upstream is free in time.",
-                self._service,
-                extra={
-                    "wait_ms": round(wait_s * MS_PER_S, 1),
-                    "retry_after_ms": round(error.retry_after_s * MS_PER_S),
-                    "waiting": len(self._queue),
-                    "completions_per_s": round(rate, 1),
-                    "refused_early": self._refused_early,
-                    "refused_late": self._refused_late,
-                    "left_out": self._lines.dropped,
-                },
-            )
-        return error
+        return self._refusals.build_error(
+            need, wait_s, len(self._queue), now, is_early=is_early
+        )
 
 
 def _divide(count: int, rate: float) -> float:
