Let requests make their object known at the first choice

Where only a known object can be served in time (880 ms, 264 ms known, for an objective of 586 ms), all requests counted as late at first and most were refused, so the objects stayed unknown.

Lateness at the first choice is now judged by the time of a known object.

--- a/src/gypsummount/_core/work_account.py
+++ b/src/gypsummount/_core/work_account.py
@@ -20,7 +20,10 @@
 AVERAGE_LIFE_S = 2.0
 # Objects that an upstream is assumed to remember.
 MAX_KNOWN_OBJECTS = 16
+# They are forgotten after this time or, if that is longer, after the time of
+# so many requests, as other instances use the upstream too.
 KNOWN_LIFE_S = 1.5
+KNOWN_LIFE_REQUESTS = 10.0
 # Fraction of the likely work that a request still takes at least.
 MIN_REMAINING_FRACTION = 0.25
 FACTOR_WEIGHT = 0.05
@@ -28,6 +31,14 @@
 MAX_FACTOR = 4.0
 
 
+def compute_known_since(usual_s: float, now: float) -> float:
+    """Return since when an answer shows that an object is known.
+
+    ``usual_s`` is the usual service time.
+    """
+    return now - max(KNOWN_LIFE_S, KNOWN_LIFE_REQUESTS * usual_s)
+
+
 class WorkAccount:
     """Outstanding work, speed and known objects of one upstream.
 
@@ -149,10 +160,10 @@
         factor = self.factor * (1 + (ratio - 1) * FACTOR_WEIGHT)
         self.factor = min(MAX_FACTOR, max(MIN_FACTOR, factor))
 
-    def knows(self, object_hash: int, now: float) -> bool:
-        """Tell whether the upstream probably remembers an object."""
+    def knows(self, object_hash: int, since: float) -> bool:
+        """Tell whether the upstream has answered for an object since then."""
         answered_at = self._known.get(object_hash)
-        return answered_at is not None and now - answered_at < KNOWN_LIFE_S
+        return answered_at is not None and answered_at >= since
 
     def record_object(self, object_hash: int, now: float) -> None:
         """Record that the upstream has answered for an object."""
--- a/src/gypsummount/_edge/work_choice.py
+++ b/src/gypsummount/_edge/work_choice.py
@@ -5,6 +5,7 @@
 
 from gypsummount._core.service_times import Familiarity
 from gypsummount._core.service_times import ServiceTimes
+from gypsummount._core.work_account import compute_known_since
 from gypsummount._core.work_account import WorkAccount
 from gypsummount._edge.backends import Backend
 from gypsummount._edge.backends import Need
@@ -46,13 +47,20 @@
     ``cost_s`` is the likely service time at normal speed, ``speed`` how
     much longer it takes on the machine now, ``wait_s`` the expected wait
     and ``has_room`` whether the request may be sent now.
+
+    ``least_s`` is the service time that decides whether it ``is_late``.
+    At the first choice it is that of a known object: a request that is
+    late as its object is not known anywhere has to run there all the
+    same, so that later ones can be on time.
     """
 
     familiarity: int
     cost_s: float
     speed: float
+    least_s: float
     wait_s: float
     has_room: bool
+    is_late: bool
     started_at: float
 
     @property
@@ -60,11 +68,6 @@
         """Return the expected service time (s) at the current speed."""
         return self.cost_s * self.speed
 
-    @property
-    def finish_s(self) -> float:
-        """Return the expected time (s) until the answer."""
-        return self.wait_s + self.cost_s * self.speed
-
 
 class WorkChooser:
     """Chooses upstreams by expected completion and use of capacity."""
@@ -128,6 +131,7 @@
             need.route, need.body_class, need.objective_s
         ).means_s
         usual_s = self._times.usual_s
+        known_since = compute_known_since(usual_s, now)
         remaining_s = need.due_at - now
         late_cost_s = need.objective_s * LATE_COST_OBJECTIVES
         has_spare = self.utilisation < LATE_UTILISATION
@@ -145,7 +149,7 @@
             account = backend.account
             if account is None:
                 account = backend.account = self.open_account(backend)
-            if account.knows(need.object_hash, now):
+            if account.knows(need.object_hash, known_since):
                 familiarity = Familiarity.KNOWN
             else:
                 familiarity = BY_POSITION[min(position, 2)]
@@ -164,9 +168,13 @@
                 wait_s = account.estimate_wait(
                     count, slots, usual_s, speed, now
                 )
-            total_s = wait_s + cost_s * speed
-            is_late = total_s > remaining_s
-            total_s += cost_s * speed * (self._price - 1)
+            service_s = cost_s * speed
+            least_s = service_s
+            if position == 0:
+                # The first choice is to know the object afterwards.
+                least_s = means_s[0] * account.factor * speed
+            is_late = wait_s + least_s > remaining_s
+            total_s = wait_s + service_s * self._price
             if is_late:
                 total_s += late_cost_s
                 if estimate + 1 > slots and has_spare:
@@ -186,8 +194,10 @@
                 familiarity,
                 cost_s,
                 speed,
+                least_s,
                 wait_s,
                 estimate + 1 <= limit,
+                is_late,
                 now,
             )
             best_total_s = total_s
--- a/src/gypsummount/_edge/work_policy.py
+++ b/src/gypsummount/_edge/work_policy.py
@@ -127,7 +127,7 @@
                 self._settle(waiter, pick, now)
                 continue
             wait_s = max(pick.wait_s, _divide(ahead.total(), rate))
-            late_s = now + wait_s + pick.service_s - waiter.need.due_at
+            late_s = now + wait_s + pick.least_s - waiter.need.due_at
             is_late = now > waiter.entry.start_by
             if late_s > waiter.need.objective_s * REFUSAL_MARGIN:
                 if not is_late:
@@ -234,7 +234,7 @@
             targets = self._queue.count_targets(key)
         pick = self._choose_with(need, tried, targets, now)
         if pick is not None:
-            entry.start_by = need.due_at - pick.service_s
+            entry.start_by = need.due_at - pick.least_s
         return pick
 
     def _choose_with(
@@ -262,7 +262,7 @@
         """
         if not pick.has_room:
             return False
-        if now + pick.finish_s <= need.due_at:
+        if not pick.is_late:
             return True
         if self._chooser.utilisation < LATE_UTILISATION:
             return not len(self._queue)
@@ -271,8 +271,7 @@
     def _start(
         self, pick: WorkPick, need: Need, entry: QueueEntry, now: float
     ) -> WorkPick:
-        is_late = now + pick.finish_s > need.due_at
-        if is_late and self._chooser.utilisation >= LATE_UTILISATION:
+        if pick.is_late and self._chooser.utilisation >= LATE_UTILISATION:
             self._order.use_late_turn()
         pick.backend.load.record_start(now)
         pick.backend.account.add(pick.cost_s, pick.started_at)
@@ -368,8 +367,8 @@
         self, pick: WorkPick, need: Need, deadline: float, now: float
     ) -> float:
         """Return how long (s) a request may wait; 0 if in vain."""
-        latest_s = deadline - now - pick.service_s
-        spare_s = need.due_at - now - pick.service_s
+        latest_s = deadline - now - pick.least_s
+        spare_s = need.due_at - now - pick.least_s
         if spare_s <= 0:
             return min(latest_s, need.objective_s * EARLY_FRACTION)
         ahead = len(self._queue)
--- a/tests/core/test_work_account.py
+++ b/tests/core/test_work_account.py
@@ -13,6 +13,7 @@
 from gypsummount._core.service_times import MAX_ROWS
 from gypsummount._core.service_times import ServiceTimes
 from gypsummount._core.work_account import AVERAGE_LIFE_S
+from gypsummount._core.work_account import compute_known_since
 from gypsummount._core.work_account import KNOWN_LIFE_S
 from gypsummount._core.work_account import MAX_KNOWN_OBJECTS
 from gypsummount._core.work_account import WorkAccount
@@ -91,7 +92,9 @@
             account.record_object(number, 0.0)
         assert not account.knows(0, 0.0)
         assert account.knows(1, 0.0)
-        assert not account.knows(1, KNOWN_LIFE_S)
+        later = KNOWN_LIFE_S + 0.1
+        assert not account.knows(1, compute_known_since(0.1, later))
+        assert account.knows(1, compute_known_since(1.0, later))
 
 
 class TestServiceTimes:
