Serve late requests at busy upstreams while the region has room

Late requests waited for a free slot at their first choice only and were refused although the region's utilisation was low.

--- a/src/gypsummount/_edge/work_choice.py
+++ b/src/gypsummount/_edge/work_choice.py
@@ -185,7 +185,7 @@
             if not self._tools.cold_limits.permits(backend, usual_s, now):
                 continue
             limit = slots
-            if not is_late:
+            if not is_late or has_spare:
                 limit = _compute_limit(slots, load.in_flight, estimate)
             best = WorkPick(
                 backend,
--- a/src/gypsummount/_edge/work_policy.py
+++ b/src/gypsummount/_edge/work_policy.py
@@ -28,9 +28,12 @@
 from gypsummount._edge.work_queue import WorkQueue
 from gypsummount.errors import NoCapacity
 
-# The longest wait of a late request, and the longest time in which a
-# refusal counts as early, relative to the latency objective.
+# The longest wait of a late request while the upstreams are busy, and the
+# longest time in which a refusal counts as early, relative to the latency
+# objective.
 EARLY_FRACTION = 0.125
+# The longest wait of a late request while the upstreams have room.
+LATE_WAIT_FRACTION = 0.6
 # A waiting request is refused when its expected answer is later than due by
 # this fraction of the objective; a new one when it is late at all.
 REFUSAL_MARGIN = 0.1
@@ -370,7 +373,10 @@
         latest_s = deadline - now - pick.least_s
         spare_s = need.due_at - now - pick.least_s
         if spare_s <= 0:
-            return min(latest_s, need.objective_s * EARLY_FRACTION)
+            fraction = EARLY_FRACTION
+            if self._chooser.utilisation < LATE_UTILISATION:
+                fraction = LATE_WAIT_FRACTION
+            return min(latest_s, need.objective_s * fraction)
         ahead = len(self._queue)
         measured_s = _divide(
             ahead, self._refusals.rate.read(now) * RATE_MARGIN
