--- a/src/gypsummount/_edge/dispatch.py
+++ b/src/gypsummount/_edge/dispatch.py
@@ -1,7 +1,7 @@
 """Selection by the dispatcher of a service, in a large fleet."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import replace
 
 from gypsummount._common.clocks import read_monotonic
 from gypsummount._common.line_limiter import LineLimiter
@@ -42,13 +42,6 @@
 DatagramHandler = Callable[[bytes, str], None]
 
 
-@dataclass(slots=True, frozen=True)
-class DispatchedPick(Pick):
-    """A selected upstream and the number of its request."""
-
-    number: int = 0
-
-
 class Dispatch(Selector):
     """Gets upstreams from dispatchers, or selects them here.
 
@@ -171,7 +164,7 @@
     def finish(self, pick: Pick, result: ExchangeResult) -> None:
         """Return an upstream after the exchange, with what it showed."""
         self._selection.finish(pick, result)
-        if not isinstance(pick, DispatchedPick):
+        if not pick.number:
             return
         held = self._held.pop(pick.number)
         host = self._ranks.hosts.get(held.dispatcher)
@@ -205,19 +198,16 @@
         deadline: float,
     ) -> Pick | None:
         """Start at a granted upstream; return None if this may not use it."""
-        now = read_monotonic()
-        backend = self._selection.start_granted(
-            answer.upstream, need, tried, now
+        pick = self._selection.start_granted(
+            answer.upstream, answer.position, answer.load, need, tried
         )
-        if backend is None:
+        if pick is None:
             host = self._ranks.hosts.get(name)
             if host is not None:
                 self._release(host, answer.number, ExchangeResult())
             return None
-        pick = DispatchedPick(
-            backend, answer.position, answer.load, answer.number
-        )
-        self._hold(pick, need, deadline, name, now)
+        pick = replace(pick, number=answer.number)
+        self._hold(pick, need, deadline, name, read_monotonic())
         return pick
 
     async def _select_here(
@@ -225,14 +215,13 @@
     ) -> Pick:
         """Select as without dispatchers, but keep the upstream in mind."""
         pick = await self._selection.acquire(need, tried, deadline)
-        number = self.requests.take_number()
-        kept = DispatchedPick(pick.backend, pick.position, pick.load, number)
+        kept = replace(pick, number=self.requests.take_number())
         self._hold(kept, need, deadline, "", read_monotonic())
         return kept
 
     def _hold(
         self,
-        pick: DispatchedPick,
+        pick: Pick,
         need: Need,
         deadline: float,
         dispatcher: str,
--- a/src/gypsummount/_edge/dispatch_results.py
+++ b/src/gypsummount/_edge/dispatch_results.py
@@ -1,6 +1,7 @@
 """What the exchanges of other instances tell a dispatcher."""
 
 from gypsummount._common.clocks import read_monotonic
+from gypsummount._edge.backends import Need
 from gypsummount._edge.selection import Selection
 from gypsummount._edge.selector import ExchangeEnd
 from gypsummount._edge.selector import ExchangeResult
@@ -12,9 +13,8 @@
 
 def record_result(
     selection: Selection,
-    service: str,
+    need: Need,
     pick: Pick,
-    object_hash: int,
     result: ExchangeResult,
 ) -> None:
     """Record the result of an exchange that another instance has made.
@@ -36,10 +36,10 @@
         load.hold.record_leaving()
     if result.retry_after_s is not None:
         load.hold.record_retry_after(now, result.retry_after_s)
-    _record_load(selection, service, pick, result, now)
+    _record_load(selection, pick, result, now)
     if result.end is ExchangeEnd.SUCCEEDED:
-        load.record_success(result.duration_s, object_hash)
-        selection.record_latency(service, pick, result.duration_s)
+        load.record_success(result.duration_s, need.object_hash)
+        selection.record_latency(need, pick, result.duration_s)
     elif result.end is ExchangeEnd.FAILED:
         load.record_fault(now)
 
@@ -49,7 +49,6 @@
 
 def _record_load(
     selection: Selection,
-    service: str,
     pick: Pick,
     result: ExchangeResult,
     now: float,
@@ -57,9 +56,7 @@
     backend = pick.backend
     report = result.load
     if report is not None:
-        backend.load.record_load_report(report.running, report.waiting, now)
-        if report.speed is not None:
-            selection.record_speed(service)
+        selection.record_load(backend, report, now)
     if result.end is not ExchangeEnd.REFUSED:
         return
     # One that refuses although it has free slots may take the next one.
--- a/src/gypsummount/_edge/dispatcher.py
+++ b/src/gypsummount/_edge/dispatcher.py
@@ -49,8 +49,7 @@
 @dataclass(slots=True, frozen=True)
 class _Granted:
     pick: Pick
-    service: str
-    object_hash: int
+    need: Need
 
 
 class Dispatcher:
@@ -94,7 +93,7 @@
         self._updated_at = now
         expired = self._table.end_expired(now)
         for granted in expired:
-            self._selection.release(granted.pick.backend)
+            self._selection.release(granted.pick.backend, granted.pick)
         if expired and self._lines.try_take(now):
             _log.info(
                 "Grants have expired without a release.",
@@ -139,14 +138,8 @@
         if task is not None:
             task.cancel()
         if granted is not None:
-            self._selection.release(granted.pick.backend)
-            record_result(
-                self._selection,
-                granted.service,
-                granted.pick,
-                granted.object_hash,
-                result,
-            )
+            self._selection.release(granted.pick.backend, granted.pick)
+            record_result(self._selection, granted.need, granted.pick, result)
 
     def receive_held(self, data: bytes, host: str) -> None:
         """Renew grants, and record those of an earlier dispatcher.
@@ -179,9 +172,11 @@
             return
         load = backend.load
         load.record_start(now)
-        granted = _Granted(
-            Pick(backend, 0, float(load.in_flight)), service, item.object_hash
+        # Only the object is known of such a request.
+        need = Need(
+            service, frozenset(), frozenset(), item.object_hash, 0, now, 0.0
         )
+        granted = _Granted(Pick(backend, 0, float(load.in_flight)), need)
         self._table.add(key, granted, expires_at)
 
     def _begin(
@@ -228,7 +223,7 @@
             raise
         finally:
             self._waiting.pop(key, None)
-        granted = _Granted(pick, need.service, need.object_hash)
+        granted = _Granted(pick, need)
         now = read_monotonic()
         self._table.add(key, granted, now + compute_lease(deadline - now))
         self.granted += 1
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -198,6 +198,7 @@
             self.duties,
             self._usage,
             self._dispatch,
+            self._selection,
         )
 
     @property
--- a/src/gypsummount/_edge/proxy.py
+++ b/src/gypsummount/_edge/proxy.py
@@ -92,6 +92,7 @@
         if context.canary is not None and not context.is_new:
             context.canary.in_flight_old += 1
         try:
+            self._check_capacity(context)
             await self._admission.admit(context)
             answer = await self._run_attempts(context)
             return ProxyOutcome(answer, context)
@@ -100,6 +101,14 @@
                 context.canary.in_flight_old -= 1
             self._admission.return_token(context)
 
+    def _check_capacity(self, context: RequestContext) -> None:
+        """Check for capacity first, so that no token is taken in vain.
+
+        :raises NoCapacity: if no upstream is expected to be free in time.
+        """
+        if not context.is_new:
+            self._selection.check_capacity(context.need, context.deadline)
+
     async def _run_attempts(self, context: RequestContext) -> UpstreamAnswer:
         tried: frozenset[str] = frozenset()
         self._retry_budgets.record_first_send(context.need.service)
@@ -232,11 +241,7 @@
         backend.load.record_answer(now)
         self._holds.record(backend, report, now)
         if report.load is not None:
-            backend.load.record_load_report(
-                report.load.running, report.load.waiting, now
-            )
-            if report.load.speed is not None:
-                self._selection.record_speed(context.need.service)
+            self._selection.record_load(backend, report.load, now)
         if not report.ran:
             if self._usage is not None:
                 self._usage.record_not_run(context)
@@ -247,9 +252,7 @@
             backend.load.record_fault(now)
         else:
             backend.load.record_success(latency_s, context.need.object_hash)
-            self._selection.record_latency(
-                context.need.service, pick, latency_s
-            )
+            self._selection.record_latency(context.need, pick, latency_s)
         self._record_evidence(context, failed=failed, latency_s=latency_s)
 
     def _record_refusal(
--- a/src/gypsummount/_edge/status.py
+++ b/src/gypsummount/_edge/status.py
@@ -13,6 +13,7 @@
 from gypsummount._edge.gossip import Gossip
 from gypsummount._edge.peers import Peers
 from gypsummount._edge.replica import Replica
+from gypsummount._edge.selection import Selection
 from gypsummount._edge.store_reader import StoreReader
 from gypsummount._edge.tokens import Tokens
 from gypsummount._edge.usage_duty import UsageDuty
@@ -41,9 +42,11 @@
         duties: Duties,
         usage: UsageDuty,
         dispatch: Dispatch,
+        selection: Selection,
     ) -> None:
         self._usage = usage
         self._dispatch = dispatch
+        self._selection = selection
         self._bodies = bodies
         self._duties = duties
         self._metrics = metrics
@@ -92,8 +95,22 @@
             **self._usage.list_gauges(),
             **self._dispatch.list_gauges(),
         }
+        gauges.update(self._list_queue_gauges())
         return write_exposition(self._metrics, gauges, now)
 
+    def _list_queue_gauges(self) -> dict[str, float]:
+        """Return the figures of the services' queues, if any are kept."""
+        gauges = {}
+        for service, report in self._selection.list_queues().items():
+            label = f'{{service="{service}"}}'
+            gauges |= {
+                f"queue_waiting{label}": float(report.waiting),
+                f"queue_wait_seconds{label}": report.expected_wait_s,
+                f"queue_refused_early{label}": float(report.refused_early),
+                f"queue_refused_late{label}": float(report.refused_late),
+            }
+        return gauges
+
     def log_delay(self, delay_s: float) -> None:
         """Log how late (s) a step ran, as in a busy or suspended process."""
         if delay_s <= MIN_LOGGED_DELAY_S:
--- a/src/gypsummount/_edge/wire.py
+++ b/src/gypsummount/_edge/wire.py
@@ -40,13 +40,13 @@
 class LoadReport:
     """Numbers of requests running and waiting at an upstream.
 
-    ``speed`` is the current service time there, where 100 is normal, or
-    None if the upstream does not state it.
+    ``speed`` is the current service time on its machine, where 100 is
+    normal, or None if the upstream does not report it.
     """
 
     running: int
     waiting: int
-    speed: float | None = None
+    speed: int | None = None
 
 
 @dataclass(slots=True, frozen=True)
