Send dispatchers what the order and costs of a request depend on

A dispatched request lacked its workspace, size class and returning flag, so the dispatcher could neither keep fair shares nor learn by size; its message carries them now. The speed figure of a release was limited as a time is, to 3600; it has its own range. Requests that a dispatcher will queue skip the check of capacity at the requesting instance, which knows only its own part of the queue: the dispatcher refuses them, and their token is returned.

--- a/src/gypsummount/_edge/dispatch.py
+++ b/src/gypsummount/_edge/dispatch.py
@@ -161,6 +161,19 @@
             excluded = excluded | {answer.upstream}
         return await self._select_here(need, tried, deadline)
 
+    def check_capacity(self, need: Need, deadline: float) -> None:
+        """Check for capacity if the upstream will be selected here.
+
+        A dispatcher knows the whole queue and refuses at once; a refused
+        request's token is returned.
+
+        :raises NoCapacity: if no upstream is expected to be free in time.
+        """
+        if self.is_dispatched(need.service):
+            if self._ranks.choose(need.service, read_monotonic()):
+                return
+        self._selection.check_capacity(need, deadline)
+
     def finish(self, pick: Pick, result: ExchangeResult) -> None:
         """Return an upstream after the exchange, with what it showed."""
         self._selection.finish(pick, result)
--- a/src/gypsummount/_edge/dispatch_messages.py
+++ b/src/gypsummount/_edge/dispatch_messages.py
@@ -28,10 +28,12 @@
 MAX_HELD = 24
 MAX_SPAN_S = 3600.0
 MAX_COUNT = 0xFFFF
+MAX_BODY_CLASS = 0xFF
+MAX_SPEED_FIGURE = 100_000
 MAX_RANK = 0x7FFFFFFF
-_REQUEST = Struct("!QIifffH")
+_REQUEST = Struct("!QIifffB?H")
 _ANSWER = Struct("!QIBHffB")
-_RELEASE = Struct("!QBBfHHff")
+_RELEASE = Struct("!QBBfHHIf")
 _HELD = Struct("!QIfH")
 _LENGTH = Struct("!H")
 _NUMBER = Struct("!Q")
@@ -101,6 +103,7 @@
     scope = _encode_scope(
         need.service, need.route, need.versions, need.regions
     )
+    scope += (_FIELD + need.workspace).encode()
     head = _REQUEST.pack(
         request.number,
         need.object_hash,
@@ -108,6 +111,8 @@
         _limit(request.remaining_s),
         _limit(due_in_s),
         _limit(need.objective_s),
+        min(MAX_BODY_CLASS, need.body_class),
+        need.is_returning,
         len(scope),
     )
     tried = _FIELD.join(request.tried).encode() if request.tried else b""
@@ -120,13 +125,26 @@
     :raises RecordInvalid: when it cannot be decoded.
     """
     try:
-        number, object_hash, rank, remaining_s, due_in_s, objective_s, size = (
-            _REQUEST.unpack_from(data, MARK_BYTES)
-        )
+        (
+            number,
+            object_hash,
+            rank,
+            remaining_s,
+            due_in_s,
+            objective_s,
+            body_class,
+            is_returning,
+            size,
+        ) = _REQUEST.unpack_from(data, MARK_BYTES)
         start = MARK_BYTES + _REQUEST.size
         if start + size > len(data):
             raise ValueError("it is cut off")
-        scope = _decode_scope(data[start : start + size])
+        # The workspace is last, as it has the most values.
+        scope_data, _, name = data[start : start + size].rpartition(
+            _FIELD.encode()
+        )
+        scope = _decode_scope(scope_data)
+        workspace = name.decode()
         text = data[start + size :].decode()
     except (StructError, ValueError) as error:
         raise _build_invalid(error) from None
@@ -143,6 +161,9 @@
         due_in_s,
         objective_s,
         route,
+        workspace,
+        body_class,
+        is_returning,
     )
     tried = frozenset(text.split(_FIELD)) if text else frozenset()
     return DispatchRequest(number, need, tried, remaining_s)
@@ -202,15 +223,14 @@
     flags = _IS_LEAVING if result.is_leaving else 0
     if result.retry_after_s is not None:
         flags |= _HAS_RETRY
-    running = waiting = 0
-    speed = 0.0
+    running = waiting = speed = 0
     if load is not None:
         flags |= _HAS_LOAD
         running = min(MAX_COUNT, load.running)
         waiting = min(MAX_COUNT, load.waiting)
         if load.speed is not None:
             flags |= _HAS_SPEED
-            speed = load.speed
+            speed = min(MAX_SPEED_FIGURE, load.speed)
     return RELEASE_MARK + _RELEASE.pack(
         number,
         result.end,
@@ -218,7 +238,7 @@
         _limit(result.duration_s),
         running,
         waiting,
-        _limit(speed),
+        speed,
         _limit(result.retry_after_s or 0.0),
     )
 
@@ -235,7 +255,9 @@
         end = ExchangeEnd(end)
     except (StructError, ValueError) as error:
         raise _build_invalid(error) from None
-    _check_spans(duration_s, speed, retry_s)
+    _check_spans(duration_s, retry_s)
+    if speed > MAX_SPEED_FIGURE:
+        raise _build_invalid(ValueError(f"{speed} is out of range"))
     load = None
     if flags & _HAS_LOAD:
         load = LoadReport(
--- a/src/gypsummount/_edge/proxy.py
+++ b/src/gypsummount/_edge/proxy.py
@@ -107,7 +107,7 @@
         :raises NoCapacity: if no upstream is expected to be free in time.
         """
         if not context.is_new:
-            self._selection.check_capacity(context.need, context.deadline)
+            self._selector.check_capacity(context.need, context.deadline)
 
     async def _run_attempts(self, context: RequestContext) -> UpstreamAnswer:
         tried: frozenset[str] = frozenset()
--- a/src/gypsummount/_edge/selector.py
+++ b/src/gypsummount/_edge/selector.py
@@ -53,6 +53,13 @@
         :raises NoCapacity: when none becomes free in time.
         """
 
+    @abstractmethod
+    def check_capacity(self, need: Need, deadline: float) -> None:
+        """Check that an upstream is expected to take a request in time.
+
+        :raises NoCapacity: if none is, as far as is known here.
+        """
+
     @abstractmethod
     def finish(self, pick: Pick, result: ExchangeResult) -> None:
         """Return an upstream after the exchange, with what it showed."""
--- a/tests/edge/test_dispatch.py
+++ b/tests/edge/test_dispatch.py
@@ -3,6 +3,7 @@
 from asyncio import create_task
 from asyncio import gather
 from asyncio import sleep
+from dataclasses import replace
 
 import pytest
 
@@ -14,6 +15,7 @@
 from gypsummount._edge.dispatch_messages import REQUEST_MARK
 from gypsummount._edge.selector import ExchangeEnd
 from gypsummount._edge.selector import ExchangeResult
+from gypsummount._edge.wire import LoadReport
 from gypsummount.errors import NoCapacity
 from tests.edge.dispatch_network import build_need
 from tests.edge.dispatch_network import build_result
@@ -104,6 +106,54 @@
         assert second.backend.record.name != pick.backend.record.name
 
 
+class TestAccount:
+    async def test_dispatcher_learns_service_times_and_speeds(self, network):
+        """Guards against a dispatcher that selects by assumed times."""
+        ranked, others = network.rank()
+        need = replace(build_need(), workspace="w1", body_class=2)
+        pick = await others[0].acquire(need)
+        policy = ranked[0].selection._policies["s"]
+        account = (
+            ranked[0].selection.find_backend(pick.backend.record.name).account
+        )
+        assert account._requests == 1
+        assert "w1" in policy._order.workspaces._recent
+        times = policy._times.find("read", 2, need.objective_s)
+        before_s = times.means_s[pick.familiarity]
+        result = ExchangeResult(
+            ExchangeEnd.SUCCEEDED, before_s / 2, LoadReport(0, 0, 300)
+        )
+        others[0].dispatch.finish(pick, result)
+        await sleep(0.01)
+        assert account._requests == 0
+        assert account.estimate_speed(read_monotonic()) > 2.5
+        assert times.means_s[pick.familiarity] < before_s
+        assert account.knows(7, float("-inf"))
+
+    async def test_exchange_counts_once_at_each_side(self, network):
+        """Guards against demand and work that appear twice."""
+        ranked, others = network.rank()
+        pick = await others[0].acquire()
+        asking = others[0].selection
+        assert asking._policies["s"].state.new_requests == 0
+        assert ranked[0].selection._policies["s"].state.new_requests == 1
+        assert pick.backend.load.in_flight == 1
+        assert pick.backend.account._requests == 1
+        others[0].dispatch.finish(pick, build_result())
+        await sleep(0.01)
+        assert pick.backend.account._requests == 0
+        assert others[0].count_in_flight() == 0
+        assert ranked[0].count_in_flight() == 0
+
+    async def test_own_pick_keeps_its_costs(self, network):
+        """Guards against work that the dispatcher's own requests leave."""
+        ranked, _ = network.rank()
+        pick = await ranked[0].acquire()
+        assert pick.backend.account._requests == 1
+        ranked[0].dispatch.finish(pick, build_result())
+        assert pick.backend.account._requests == 0
+
+
 class TestSwitch:
     async def test_service_without_a_speed_sends_nothing(self, network):
         for node in network.nodes.values():
