Bound the queue of a region and the cost of a freed slot

A dispatcher queues the requests of its whole region.

All waiting requests for one upstream were tried when it had a free slot; 16 are now, beside three others. A load report of an upstream without room no longer sorts the queue.

--- a/benchmarks/test_dispatch.py
+++ b/benchmarks/test_dispatch.py
@@ -37,7 +37,7 @@
         node._send = self._send
         node.start_dispatch()
         self.gossip = Gossip(
-            node.digest.name, host, PORT, Peers("a"), None, None
+            node.digest.name, host, PORT, Peers("a"), None, None, None
         )
         self.gossip.add_handlers(node.dispatch.list_handlers())
 
--- a/src/gypsummount/_edge/dispatch.py
+++ b/src/gypsummount/_edge/dispatch.py
@@ -113,8 +113,11 @@
         has_changed = self._ranks.apply_fleet(
             live, services, is_grouped=is_grouped, is_serving=is_serving
         )
+        if not is_grouped:
+            self._selection.scale_queues(1)
         if not has_changed:
             return
+        self._selection.scale_queues(len(self._ranks.hosts) + 1)
         self._names = {host: name for name, host in self._ranks.hosts.items()}
         self.dispatcher.set_names(self._names)
         self._releases.retain(set(self._names))
--- a/src/gypsummount/_edge/selection.py
+++ b/src/gypsummount/_edge/selection.py
@@ -27,6 +27,7 @@
 from gypsummount._edge.waiting import Pick
 from gypsummount._edge.wire import LoadReport
 from gypsummount._edge.work_policy import WorkPolicy
+from gypsummount._edge.work_queue import QueueLimit
 from gypsummount.errors import NoCapacity
 
 DEMAND_WEIGHT = 0.3  # smoothing factor of the average demand
@@ -59,7 +60,11 @@
         self._cold_limits = ColdLimits(replica, self._backends, prober)
         self._orders = UpstreamOrders()
         self._tools = PolicyTools(
-            region, self._release_pick, self._orders, self._cold_limits
+            region,
+            self._release_pick,
+            self._orders,
+            self._cold_limits,
+            QueueLimit(),
         )
         self._policies: dict[str, SelectionPolicy] = {}
         self._seen_changes = -1
@@ -220,6 +225,10 @@
         policy = self._policies.get(service)
         return policy is not None and policy.uses_speed
 
+    def scale_queues(self, instances: int) -> None:
+        """Set for how many instances this one may queue requests."""
+        self._tools.queue_limit.scale(instances)
+
     def knows(self, service: str) -> bool:
         """Tell whether any upstream of a service is known."""
         self._refresh(read_monotonic())
--- a/src/gypsummount/_edge/selection_policy.py
+++ b/src/gypsummount/_edge/selection_policy.py
@@ -13,6 +13,7 @@
 from gypsummount._edge.upstream_orders import UpstreamOrders
 from gypsummount._edge.waiting import Pick
 from gypsummount._edge.wire import LoadReport
+from gypsummount._edge.work_queue import QueueLimit
 from gypsummount.errors import NoCapacity
 
 RETRY_AFTER_S = 0.2
@@ -25,13 +26,14 @@
 
     ``region`` is the region of this instance.  ``release_pick`` releases
     an upstream that was assigned to a request just as its caller
-    disconnected.
+    disconnected.  ``queue_limit`` is that of the queues by work.
     """
 
     region: str
     release_pick: Callable[[Pick], None]
     orders: UpstreamOrders
     cold_limits: ColdLimits
+    queue_limit: QueueLimit
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/gypsummount/_edge/work_choice.py
+++ b/src/gypsummount/_edge/work_choice.py
@@ -211,6 +211,13 @@
                     break
         return best
 
+    def has_room(self, backend: Backend, now: float) -> bool:
+        """Tell whether an upstream may get a request that is on time."""
+        load = backend.load
+        estimate = load.estimate_load(now, self._times.usual_s)
+        slots = load.record.slots
+        return estimate + 1 <= _compute_limit(slots, load.in_flight, estimate)
+
     def complete(self, pick: Pick, need: Need, now: float) -> Pick:
         """Add the expected times to the pick of a dispatcher."""
         found = self.choose(
--- a/src/gypsummount/_edge/work_policy.py
+++ b/src/gypsummount/_edge/work_policy.py
@@ -41,6 +41,8 @@
 RATE_MARGIN = 2.0
 # Waiting requests for other upstreams that are offered a free slot.
 MAX_EXAMINED = 3
+# Waiting requests for an upstream of which one may get its free slot.
+MAX_SUITED = 16
 NONE_TRIED: frozenset[str] = frozenset()
 
 _log = get_logger("selection")
@@ -68,7 +70,9 @@
         self._times = ServiceTimes(previous.state.work.first_s)
         self._chooser = WorkChooser(previous.state, tools, self._times)
         self._order = QueueOrder(now)
-        self._queue = WorkQueue(self._order, tools.release_pick)
+        self._queue = WorkQueue(
+            self._order, tools.release_pick, tools.queue_limit
+        )
         self._refusals = Refusals(service, now)
         self._targets: dict[str, int] = NO_TARGETS
         self._expected_wait_s = 0.0
@@ -298,8 +302,9 @@
 
     def _serve(self, backend: Backend, now: float) -> None:
         """Give an upstream's free slots to waiting requests."""
-        while len(self._queue) and self._give(backend, now, None):
-            continue
+        while len(self._queue) and self._chooser.has_room(backend, now):
+            if not self._give(backend, now, None):
+                break
 
     def _give(
         self, backend: Backend, now: float, before: QueueKey | None
@@ -312,6 +317,7 @@
         """
         ahead: Counter[str] = Counter()
         examined = 0
+        suited = 0
         found: Waiter | None = None
         found_pick: WorkPick | None = None
         for waiter in self._queue.sort(now):
@@ -321,6 +327,9 @@
                 break
             target = waiter.target
             if target.backend is backend:
+                suited += 1
+                if suited > MAX_SUITED:
+                    break
                 pick = self._chooser.choose(
                     (backend,),
                     waiter.need,
--- a/src/gypsummount/_edge/work_queue.py
+++ b/src/gypsummount/_edge/work_queue.py
@@ -14,7 +14,23 @@
 from gypsummount._edge.backends import Need
 from gypsummount._edge.waiting import Pick
 
+# Waiting requests of a service: at one instance, at a dispatcher for each
+# instance of its region, and at most.
 MAX_WAITING = 256
+MAX_WAITING_PER_INSTANCE = 24
+MAX_WAITING_IN_REGION = 512
+
+
+@dataclass(slots=True)
+class QueueLimit:
+    """The limit of the queues of all services; it may change."""
+
+    waiting: int = MAX_WAITING
+
+    def scale(self, instances: int) -> None:
+        """Set the limit for the requests of a number of instances."""
+        scaled = MAX_WAITING_PER_INSTANCE * instances
+        self.waiting = max(MAX_WAITING, min(MAX_WAITING_IN_REGION, scaled))
 
 
 @dataclass(slots=True, eq=False)
@@ -41,8 +57,12 @@
     """
 
     def __init__(
-        self, order: QueueOrder, release_pick: Callable[[Pick], None]
+        self,
+        order: QueueOrder,
+        release_pick: Callable[[Pick], None],
+        limit: QueueLimit,
     ) -> None:
+        self._limit = limit
         self._order = order
         self._release_pick = release_pick
         self._waiting: list[Waiter] = []
@@ -82,7 +102,7 @@
         key = self._order.compute_key(entry, now)
         waiter = Waiter(need, tried, entry, assigned, target, key)
         self._waiting.append(waiter)
-        if len(self._waiting) > MAX_WAITING:
+        if len(self._waiting) > self._limit.waiting:
             self.settle(self.sort(now)[-1], None)
         try:
             await wait({assigned}, timeout=limit_s)
