Release grants also of a dispatcher that seems to be gone

An exchange ended without a release while the requester did not see its dispatcher as live and serving, as just after a start; the dispatcher kept the slot until the lease expired. Held upstreams keep the address of their dispatcher now.

--- a/src/gypsummount/_edge/dispatch.py
+++ b/src/gypsummount/_edge/dispatch.py
@@ -158,7 +158,7 @@
                 break
             if answer.kind is AnswerKind.REFUSED:
                 raise _build_no_capacity(need, answer.retry_after_s)
-            pick = self._start(name, answer, need, tried, deadline)
+            pick = self._start(name, pending, answer, tried)
             if pick is not None:
                 return pick
             excluded = excluded | {answer.upstream}
@@ -183,9 +183,8 @@
         if not pick.number:
             return
         held = self._held.pop(pick.number)
-        host = self._ranks.hosts.get(held.dispatcher)
-        if host is not None:
-            self._release(host, pick.number, result)
+        if held.host:
+            self._release(held.host, pick.number, result)
 
     async def _ask(self, pending: PendingRequest) -> Answer | None:
         """Return a dispatcher's answer, or None if it does not answer.
@@ -208,22 +207,20 @@
     def _start(
         self,
         name: str,
+        pending: PendingRequest,
         answer: Answer,
-        need: Need,
         tried: frozenset[str],
-        deadline: float,
     ) -> Pick | None:
         """Start at a granted upstream; return None if this may not use it."""
+        need = pending.need
         pick = self._selection.start_granted(
             answer.upstream, answer.position, answer.load, need, tried
         )
         if pick is None:
-            host = self._ranks.hosts.get(name)
-            if host is not None:
-                self._release(host, answer.number, ExchangeResult())
+            self._release(pending.host, answer.number, ExchangeResult())
             return None
         pick = replace(pick, number=answer.number)
-        self._hold(pick, need, deadline, name, read_monotonic())
+        self._hold(pick, need, pending.deadline, name, pending.host)
         return pick
 
     async def _select_here(
@@ -232,7 +229,7 @@
         """Select as without dispatchers, but keep the upstream in mind."""
         pick = await self._selection.acquire(need, tried, deadline)
         kept = replace(pick, number=self.requests.take_number())
-        self._hold(kept, need, deadline, "", read_monotonic())
+        self._hold(kept, need, deadline, "", "")
         return kept
 
     def _hold(
@@ -241,7 +238,7 @@
         need: Need,
         deadline: float,
         dispatcher: str,
-        now: float,
+        host: str,
     ) -> None:
         held = HeldUpstream(
             need.service,
@@ -249,7 +246,8 @@
             need.object_hash,
             deadline,
             dispatcher,
-            now,
+            read_monotonic(),
+            host,
         )
         self._held.add(pick.number, held)
 
--- a/src/gypsummount/_edge/held_upstreams.py
+++ b/src/gypsummount/_edge/held_upstreams.py
@@ -15,7 +15,8 @@
 class HeldUpstream:
     """An upstream in use, until ``until`` at the latest.
 
-    ``dispatcher`` is the instance that knows of it, or empty.
+    ``dispatcher`` is the instance that knows of it, or empty, and ``host``
+    its address, which stays known when the instance seems to be gone.
     """
 
     service: str
@@ -24,6 +25,7 @@
     until: float
     dispatcher: str
     renewed_at: float
+    host: str = ""
 
 
 class HeldUpstreams:
@@ -116,7 +118,9 @@
         parts: dict[tuple[str, str], list[Held]] = {}
         for number in numbers:
             held = self._held[number]
-            held.dispatcher = receiver or held.dispatcher
+            if receiver:
+                held.dispatcher = receiver
+                held.host = hosts.get(receiver, "")
             held.renewed_at = now
             remaining_s = max(0.0, held.until - now)
             parts.setdefault((held.service, held.dispatcher), []).append(
--- a/tests/edge/test_dispatch_failures.py
+++ b/tests/edge/test_dispatch_failures.py
@@ -167,6 +167,18 @@
         ] * SIZE
 
 
+class TestUnseenDispatcher:
+    async def test_release_reaches_it(self, network):
+        """Guards against slots that stay taken after a gap in the view."""
+        ranked, others = network.rank()
+        pick = await others[0].acquire()
+        network.apply_fleet(without=(ranked[0].digest.name,))
+        others[0].dispatch.finish(pick, build_result())
+        await sleep(0.02)
+        assert ranked[0].count_in_flight() == 0
+        assert ranked[0].dispatch.dispatcher.in_use == 0
+
+
 class TestRestartedDispatcher:
     async def test_requesters_report_what_they_hold(self, network):
         """Guards against a new dispatcher that fills busy upstreams."""
