--- a/src/gypsummount/_common/request_receiver.py
+++ b/src/gypsummount/_common/request_receiver.py
@@ -132,6 +132,9 @@
         self._head = Body(self._account)
         if not self._head.try_reserve(cost):
             self._refuse()
+            # Reading on would keep the head, which can need a megabyte.
+            stream = self._connection.stream
+            self._account.close_stream(stream, "head_memory")
 
     def _reserve(self, size: int) -> None:
         """Reserve memory for the whole body; without it, refuse."""
@@ -150,3 +153,4 @@
         self._is_refused = True
         self._account.discarding += 1
         self._handler.refuse_body(self._request)
+        self._request = None
--- a/src/gypsummount/_edge/status.py
+++ b/src/gypsummount/_edge/status.py
@@ -6,12 +6,14 @@
 from gypsummount._common.loop_timer import LoopTimer
 from gypsummount._common.metrics import Metrics
 from gypsummount._core.positions import get_revision
+from gypsummount._edge.dispatch import Dispatch
 from gypsummount._edge.duties import Duties
 from gypsummount._edge.exposition import write_exposition
 from gypsummount._edge.front import EdgeFront
 from gypsummount._edge.gossip import Gossip
 from gypsummount._edge.peers import Peers
 from gypsummount._edge.replica import Replica
+from gypsummount._edge.selection import Selection
 from gypsummount._edge.store_reader import StoreReader
 from gypsummount._edge.tokens import Tokens
 from gypsummount._edge.usage_duty import UsageDuty
@@ -39,9 +41,13 @@
         clients: ClientAccount,
         duties: Duties,
         usage: UsageDuty,
+        dispatch: Dispatch,
+        selection: Selection,
     ) -> None:
         self._usage = usage
         self._clients = clients
+        self._dispatch = dispatch
+        self._selection = selection
         self._duties = duties
         self._metrics = metrics
         self._loop_timer = loop_timer
@@ -87,12 +93,27 @@
             "token_requests_unanswered": float(self._tokens.unanswered),
             **self._duties.list_gauges(),
             **self._usage.list_gauges(),
+            **self._dispatch.list_gauges(),
         }
         gauges["head_bytes_held"] = float(self._clients.head_bytes)
         for reason, count in sorted(self._clients.closed.items()):
             gauges[f"clients_closed_{reason}"] = float(count)
+        gauges.update(self._list_queue_gauges())
         return write_exposition(self._metrics, gauges, now)
 
+    def _list_queue_gauges(self) -> dict[str, float]:
+        """Return the figures of the services' queues, if any are kept."""
+        gauges = {}
+        for service, report in self._selection.list_queues().items():
+            label = f'{{service="{service}"}}'
+            gauges |= {
+                f"queue_waiting{label}": float(report.waiting),
+                f"queue_wait_seconds{label}": report.expected_wait_s,
+                f"queue_refused_early{label}": float(report.refused_early),
+                f"queue_refused_late{label}": float(report.refused_late),
+            }
+        return gauges
+
     def log_delay(self, delay_s: float) -> None:
         """Log how late (s) a step ran, as in a busy or suspended process."""
         if delay_s <= MIN_LOGGED_DELAY_S:
--- a/src/gypsummount/_edge/waiting.py
+++ b/src/gypsummount/_edge/waiting.py
@@ -22,11 +22,13 @@
     """A selected upstream with its load and position.
 
     ``position`` is its position in the order of upstreams for the object.
+    ``number`` is that of the request where instances ask dispatchers.
     """
 
     backend: Backend
     position: int
     load: float
+    number: int = field(default=0, kw_only=True)
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/edge/test_selection.py
+++ b/tests/edge/test_selection.py
@@ -15,9 +15,9 @@
 from gypsummount._core.upstream_load import MAX_LOAD_PER_SLOT
 from gypsummount._core.upstream_load import MIN_SILENCE_S
 from gypsummount._edge.backends import Need
+from gypsummount._edge.load_policy import MAX_PREFERRED
 from gypsummount._edge.probing import Prober
 from gypsummount._edge.replica import Replica
-from gypsummount._edge.selection import MAX_PREFERRED
 from gypsummount._edge.selection import Selection
 from gypsummount._edge.waiting import MAX_WAITING
 from gypsummount.errors import NoCapacity
@@ -47,8 +47,7 @@
     return Need("s", frozenset(), regions, object_hash, rank, due_at, 0.3)
 
 
-@pytest.fixture
-def replica():
+def create_replica():
     created = Replica(None, FreshnessProof(4.0))
     created.catalog = Catalog(1, CallerLimits(15.0, 1000))
     created.catalog.services["s"] = EdgeService("s", 3.0, 24.0)
@@ -59,6 +58,11 @@
     return created
 
 
+@pytest.fixture
+def replica():
+    return create_replica()
+
+
 @pytest.fixture
 def selection(replica):
     created = Selection(replica, "a", REGIONS, Prober(replica, None, "a"))
--- a/tests/edge/test_send_counter.py
+++ b/tests/edge/test_send_counter.py
@@ -68,10 +68,10 @@
 
 
 class _Selection:
-    def release(self, backend):
+    def finish(self, pick, result):
         pass
 
-    def record_latency(self, service, pick, latency_s):
+    def record_latency(self, need, pick, latency_s):
         pass
 
 
