Switch dispatchers on by a setting, off by default

GYPSUMMOUNT_DISPATCHERS=on starts them; without it nothing is ranked, sent or scaled.

The test of a queue of 300 waits until all requests have come: 125 had on a machine with a load of 17.

--- a/src/gypsummount/_edge/dispatch.py
+++ b/src/gypsummount/_edge/dispatch.py
@@ -50,8 +50,15 @@
     """
 
     def __init__(
-        self, own: Member, region: str, selection: Selection, send: Sender
+        self,
+        own: Member,
+        region: str,
+        selection: Selection,
+        send: Sender,
+        *,
+        is_enabled: bool = True,
     ) -> None:
+        self._is_enabled = is_enabled
         self._selection = selection
         self._send = send
         self._ranks = DispatcherRanks(own, region)
@@ -78,7 +85,9 @@
 
     def is_dispatched(self, service: str) -> bool:
         """Tell whether dispatchers select the upstreams of a service."""
-        return service in self._ranks and self._selection.has_speed(service)
+        if not self._is_enabled or service not in self._ranks:
+            return False
+        return self._selection.has_speed(service)
 
     def count_dispatched(self) -> int:
         """Return how many services this instance dispatches."""
@@ -109,6 +118,8 @@
         is_serving: bool,
     ) -> None:
         """Update the dispatchers from the live peers and all services."""
+        if not self._is_enabled:
+            return
         services = [] if catalog is None else list(catalog.services)
         has_changed = self._ranks.apply_fleet(
             live, services, is_grouped=is_grouped, is_serving=is_serving
--- a/src/gypsummount/_edge/process.py
+++ b/src/gypsummount/_edge/process.py
@@ -164,6 +164,7 @@
             settings.region,
             self._selection,
             self._gossip.send,
+            is_enabled=settings.uses_dispatchers,
         )
         self._gossip.add_handlers(self._dispatch.list_handlers())
         self.front = EdgeFront(
--- a/src/gypsummount/_edge/settings.py
+++ b/src/gypsummount/_edge/settings.py
@@ -78,7 +78,9 @@
     file descriptors that the process may open, ``capacity`` its share of
     the processor (cores), and ``memory_bytes`` the memory that it may use,
     0 without a limit.  ``duties`` is None where no duty is configured.
-    ``client_limits`` bound what one client costs.
+    ``client_limits`` bound what one client costs.  With
+    ``uses_dispatchers``, one instance of a region selects the upstreams of
+    a service for the others, where the upstreams state their speed.
     """
 
     instance: str
@@ -98,6 +100,7 @@
     memory_bytes: int = 0
     duties: DutySettings | None = None
     client_limits: ClientLimits = ClientLimits()
+    uses_dispatchers: bool = False
 
     @property
     def max_connections(self) -> int:
--- a/src/gypsummount/platform/settings.py
+++ b/src/gypsummount/platform/settings.py
@@ -17,6 +17,8 @@
 SETTINGS_PATH_VARIABLE = "GYPSUMMOUNT_BOOT"
 METRICS_PORT_VARIABLE = "GYPSUMMOUNT_METRICS_PORT"
 DEFAULT_METRICS_PORT = 9102
+DISPATCHERS_VARIABLE = "GYPSUMMOUNT_DISPATCHERS"
+DISPATCHERS_VALUES = {"": False, "off": False, "on": True}
 MAX_LOOKUP_TTL_S = 2.0
 BYTES_PER_MB = 1_000_000
 # A shorter lease leaves no time for a renewal beside its margins.
@@ -120,6 +122,7 @@
         memory_bytes=int(float(limits.get("memoryMb") or 0) * BYTES_PER_MB),
         duties=_decode_duties(raw.get("cloud"), bounds, raw["bounds"]),
         client_limits=read_client_limits(),
+        uses_dispatchers=_read_dispatchers(),
     )
     return PlatformSettings(edge, raw["platform"]["address"])
 
@@ -176,6 +179,19 @@
     return address
 
 
+def _read_dispatchers() -> bool:
+    """Tell whether dispatchers are switched on.
+
+    :raises SettingError: when the environment variable is neither on nor off.
+    """
+    text = environ.get(DISPATCHERS_VARIABLE, "")
+    if text not in DISPATCHERS_VALUES:
+        raise SettingError(
+            f"{DISPATCHERS_VARIABLE}: '{text}' is not valid; use on or off"
+        )
+    return DISPATCHERS_VALUES[text]
+
+
 def _read_capacity(limits: dict) -> float:
     """Return the processor share (cores) of the process."""
     return float(limits.get("cpuShare") or 1.0) * float(
--- a/tests/edge/test_dispatch_queue.py
+++ b/tests/edge/test_dispatch_queue.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from gypsummount._common.clocks import read_monotonic
 from gypsummount._edge.work_policy import MAX_EXAMINED
 from gypsummount._edge.work_policy import MAX_SUITED
 from gypsummount._edge.work_queue import MAX_WAITING
@@ -25,6 +26,7 @@
 SIZE = 14
 WAITING = 300
 LONG_S = 30.0
+MAX_QUEUEING_S = 10.0
 # Objects from this number on are not known to any upstream.
 NEW_OBJECTS = 1000
 
@@ -63,6 +65,13 @@
     return tasks
 
 
+async def wait_for_length(queue, length):
+    """Wait until all requests have come; a busy machine takes a while."""
+    ends_at = read_monotonic() + MAX_QUEUEING_S
+    while len(queue) < length and read_monotonic() < ends_at:
+        await sleep(0.02)
+
+
 async def cancel(tasks):
     for task in tasks:
         task.cancel()
@@ -77,6 +86,7 @@
         picks = await fill(others[0])
         tasks = await queue_requests(others[1], objects)
         policy = ranked[0].selection._policies["s"]
+        await wait_for_length(policy._queue, WAITING)
         assert len(policy._queue) == WAITING
         attempts = count_attempts(policy)
         for pick in picks:
@@ -102,6 +112,7 @@
         )
         tasks = await queue_requests(others[1], islice(objects, WAITING))
         policy = ranked[0].selection._policies["s"]
+        await wait_for_length(policy._queue, WAITING)
         assert len(policy._queue) == WAITING
         attempts = count_attempts(policy)
         others[0].dispatch.finish(suited, build_result())
--- a/tests/model/fleet.py
+++ b/tests/model/fleet.py
@@ -286,6 +286,7 @@
             tuple(list(self.instances)[:3]),
             self.bounds,
             capacity=instance.capacity,
+            uses_dispatchers=True,
         )
 
     def send_datagram(self, source, host, data):
