--- a/src/gypsummount/_edge/work_policy.py
+++ b/src/gypsummount/_edge/work_policy.py
@@ -117,7 +117,7 @@
         self._serve(backend, now)
 
     def update(self, now: float) -> None:
-        """Look again at all waiting requests and refuse the hopeless."""
+        """Look at all waiting requests; refuse those that will be late."""
         self._previous.update(now)
         self._chooser.update(now)
         self._order.update(now)
