Show that machines may never become ready after a common start

Cause: the first copy of a seed that has not read the store yet is empty; after it the seed sends changes alone, which are ignored, but each counts as a complete copy, so the machine never turns to the store. Change: a case in review/7 (rule Fault); the cases after it move up by one, and the stand-ins learn regions and a number of seeds.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,61 +1,86 @@
-"""A path or query with bytes above 127 reaches the server changed.
+"""When the last tenant is removed, its withdrawn keys work on.
 
-Clients that don't escape their targets, as many on devices don't, send
-UTF-8 as it is.  The server gets each of these bytes as two others.
+The operator removes the only tenant, and with it the only key.  From then on
+the edges ask for no key at all: requests with the withdrawn key run, and so do
+those with a key that no configuration ever held.
 """
 
 import asyncio
+from time import time
 
 from review.standins2.case import Case
 from review.standins2.case import run_case
 from review.standins2.client import Client
+from review.standins2.client import KEY
+from review.standins2.deployment import BOUNDS
+from review.standins2.deployment import build_config
+from review.standins2.deployment import build_tenant
 from review.standins2.deployment import SAFE_PREFIX
 from review.standins2.deployment import UNSAFE_PREFIX
 
 ZONES = ["central-a", "central-b"]
-REQUESTS = 40
-REQUESTS_PER_S = 10
-PLAIN_NAME = b"pinas"
-# 'piñas' in UTF-8.
-OTHER_NAME = "pi\u00f1as".encode()
+NEW_KEY = "qasnmgkcuyj8pjbvk9m6"
+NEVER_HELD_KEY = "zzzzzzzzzzzzzzzzzzzz"
+CALM_S = 2.0
+AFTER_REVOCATION_S = 3.0
+PERIOD_S = 0.1
 
 
-async def play(case: Case) -> bool:
-    """Play the case; return whether UNASKED held."""
-    await case.start(ZONES)
+async def send_with(case: Case, key: str, until: float) -> list[str]:
+    """Send requests with a key to all edges; return their ids."""
+    ids = []
     clients = [
-        Client(edge.front, case.record, f"c{number}")
+        Client(
+            edge.front, case.record, f"{key[:4]}-{number}-{int(until)}", key
+        )
         for number, edge in enumerate(case.deployment.edges)
     ]
-    name = OTHER_NAME if case.has_trouble else PLAIN_NAME
-    sent = {}
-    statuses = []
-    for number in range(REQUESTS):
+    number = 0
+    while time() < until:
         client = clients[number % len(clients)]
-        is_safe = number // len(clients) % 2 == 0
-        prefix = SAFE_PREFIX if is_safe else UNSAFE_PREFIX
-        target = f"{prefix}{number}/".encode() + name + b"?plot=" + name
-        attempt = await client.send(
-            b"GET" if is_safe else b"POST",
-            target,
-            b"" if is_safe else b"Content-Length: 0\r\n",
-        )
-        sent[attempt.request_id] = target
-        statuses.append(attempt.status)
-        await asyncio.sleep(1 / REQUESTS_PER_S)
-    runs = [run for server in case.servers for run in server.runs]
-    changed = [run for run in runs if run.target != sent.get(run.request_id)]
+        if number // len(clients) % 2:
+            target = f"{UNSAFE_PREFIX}{number}".encode()
+            attempt = await client.send(
+                b"POST", target, b"Content-Length: 0\r\n"
+            )
+        else:
+            target = f"{SAFE_PREFIX}{number}".encode()
+            attempt = await client.send(b"GET", target)
+        ids.append(attempt.request_id)
+        number += 1
+        await asyncio.sleep(PERIOD_S)
+    return ids
+
+
+async def play(case: Case) -> bool:
+    """Play the case; return whether CONFIG and ROUTE held."""
+    await case.start(ZONES)
+    before = await send_with(case, KEY, time() + CALM_S)
+    tenants = [] if case.has_trouble else [build_tenant([NEW_KEY])]
+    case.store.put("config", "main", build_config(9, tenants))
+    acknowledged_at = time()
+    case.record.write("a configuration without the key is acknowledged")
+    await asyncio.sleep(BOUNDS["revokeS"] + acknowledged_at - time())
+    until = time() + AFTER_REVOCATION_S
+    withdrawn, never_held = await asyncio.gather(
+        send_with(case, KEY, until), send_with(case, NEVER_HELD_KEY, until)
+    )
+    ran = {run.request_id for server in case.servers for run in server.runs}
+    case.record.conclude(
+        f"before: {len(ran.intersection(before))} of {len(before)} ran"
+    )
+    late = len(ran.intersection(withdrawn))
+    foreign = len(ran.intersection(never_held))
     case.record.conclude(
-        f"{REQUESTS} requests were sent, answered {set(statuses)}"
+        f"CONFIG: {late} of {len(withdrawn)} requests ran that were sent with "
+        f"the withdrawn key over {BOUNDS['revokeS']} s after the "
+        "acknowledgement"
     )
     case.record.conclude(
-        f"UNASKED: {len(changed)} of {len(runs)} runs had another path or "
-        "query than was sent"
+        f"ROUTE: {foreign} of {len(never_held)} requests ran with a key that "
+        "no configuration ever held"
     )
-    for run in changed[:2]:
-        case.record.conclude(f"  sent {sent[run.request_id]!r}")
-        case.record.conclude(f"  ran  {run.target!r}")
-    return not changed
+    return late == 0 and foreign == 0
 
 
 if __name__ == "__main__":
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Plays the case; see claim.txt.  TROUBLE=0 sends ASCII targets only.
+# Plays the case; see claim.txt.  TROUBLE=0 withdraws the key and keeps the tenant.
 cd "$(dirname "$0")/../.."
 exec python3 -m review.8.case
--- a/review/standins2/case.py
+++ b/review/standins2/case.py
@@ -23,6 +23,7 @@
 CASE_TIMEOUT_S = 110.0
 # Until the edges have seen each other and all servers.
 SETTLE_S = 5.0
+REGION = "central"
 
 
 class Case:
@@ -42,7 +43,40 @@
         servers_per_zone: int = 2,
         server_class: type[Server] = Server,
     ) -> None:
-        """Start the store, the servers and an edge in each zone."""
+        """Start the store, the servers and an edge in each zone.
+
+        All zones are in one region, and up to three edges are seeds.
+        """
+        address = await self._start_platform(
+            zones, servers_per_zone, server_class
+        )
+        self.deployment = Deployment(self.stack, address, self.record)
+        self.deployment.add_edges(dict.fromkeys(zones, REGION))
+        await self._settle()
+
+    async def start_regions(
+        self, regions: dict[str, str], *, seeds: int
+    ) -> None:
+        """Start the store, the servers and an edge in each zone.
+
+        ``regions`` has the region of each zone.  The edges start one after
+        the other; the first ones are the seeds.
+        """
+        zones = list(regions)
+        address = await self._start_platform(zones, 2, Server)
+        self.deployment = Deployment(self.stack, address, self.record)
+        self.deployment.add_edges(regions, seeds, is_starting=False)
+        for edge in self.deployment.edges:
+            edge.start()
+            await edge.wait_ready()
+        await self._settle()
+
+    async def _start_platform(
+        self,
+        zones: list[str],
+        servers_per_zone: int,
+        server_class: type[Server],
+    ) -> str:
         address = await self.store.listen("127.0.0.1")
         self.stack.callback(self.store.close)
         self.store.put("config", "main", build_config(7))
@@ -50,8 +84,9 @@
             for number in range(servers_per_zone):
                 name = f"i-{zone}-{number}"
                 await self.add_server(server_class, name, zone)
-        self.deployment = Deployment(self.stack, address, self.record)
-        self.deployment.add_edges(zones)
+        return address
+
+    async def _settle(self) -> None:
         for edge in self.deployment.edges:
             await edge.wait_ready()
         await asyncio.sleep(SETTLE_S)
--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -187,7 +187,7 @@
 
 
 class Deployment:
-    """Edges in the zones of one region; one machine a zone."""
+    """Edges in the zones of one or more regions; one machine a zone."""
 
     def __init__(
         self, stack: AsyncExitStack, store: str, record: Record
@@ -202,25 +202,35 @@
         self._ports = _find_ports(f"{self._net}.1")
         self.edges: list[Edge] = []
 
-    def add_edges(self, zones: list[str], region: str = "central") -> None:
-        """Start one edge in each zone."""
-        hosts = [f"{self._net}.{index + 1}" for index in range(len(zones))]
-        for zone, host in zip(zones, hosts, strict=True):
+    def add_edges(
+        self,
+        regions: dict[str, str],
+        seeds: int = 3,
+        *,
+        is_starting: bool = True,
+    ) -> None:
+        """Add one edge in each zone, and start them if ``is_starting``.
+
+        ``regions`` has the region of each zone.  The first ``seeds`` edges
+        are the seeds of all.
+        """
+        hosts = [f"{self._net}.{index + 1}" for index in range(len(regions))]
+        for zone, host in zip(regions, hosts, strict=True):
             path = self._folder / f"{zone}.json"
-            settings = self._build_settings(zone, host, hosts, zones, region)
+            settings = self._build_settings(zone, host, hosts[:seeds], regions)
             path.write_text(dumps(settings))
             edge = Edge(path, host, self._ports)
             self._stack.callback(edge.end)
             self.edges.append(edge)
-            edge.start()
+            if is_starting:
+                edge.start()
 
     def _build_settings(
         self,
         zone: str,
         host: str,
-        hosts: list[str],
-        zones: list[str],
-        region: str,
+        seeds: list[str],
+        regions: dict[str, str],
     ) -> dict:
         ports = self._ports
         return {
@@ -230,13 +240,13 @@
             "serves": ["front", "control", "directory"],
             "ip": host,
             "zone": zone,
-            "region": region,
-            "zones": dict.fromkeys(zones, region),
+            "region": regions[zone],
+            "zones": regions,
             "listen": {
                 name: f"{host}:{ports[name]}" for name in PORT_NAMES[:4]
             },
             "internalPorts": [ports["internal"], ports["internal"]],
-            "seeds": [f"{host}:{ports['control']}" for host in hosts[:3]],
+            "seeds": [f"{host}:{ports['control']}" for host in seeds],
             "firstStart": True,
             "limits": {
                 "cpuShare": 0.86,
