--- a/review/standins2/case.py
+++ b/review/standins2/case.py
@@ -102,12 +102,13 @@
         return server
 
 
-def run_case(file: str, play: Callable[[Case], Awaitable[bool]]) -> None:
+def run_case(play: Callable[[Case], Awaitable[bool]]) -> None:
     """Play a case and exit: 1 if its rule was broken, 0 if it held.
 
     ``play`` returns whether the rule held.  Any other failure exits with 2.
+    The only argument of the program is the path of the record.
     """
-    record = Record(Path(file).resolve().parent / "record.txt")
+    record = Record(Path(sys.argv[1]))
     try:
         held = asyncio.run(_play(record, play))
     except (Exception, asyncio.CancelledError):
