--- a/review/standins2/case.py
+++ b/review/standins2/case.py
@@ -24,6 +24,9 @@
 # Until the edges have seen each other and all servers.
 SETTLE_S = 5.0
 REGION = "central"
+# The store's region and the way to the others, as on the sheet of tdv-rondas.
+STORE_REGION = "central"
+BETWEEN_REGIONS_S = 0.035
 
 
 class Case:
@@ -60,12 +63,21 @@
         """Start the store, the servers and an edge in each zone.
 
         ``regions`` has the region of each zone.  The edges start one after
-        the other; the first ones are the seeds.
+        the other; the first ones are the seeds.  The store stands in
+        :data:`STORE_REGION`; the edges are as near to each other as loopback
+        makes them.
         """
         zones = list(regions)
-        address = await self._start_platform(zones, 2, Server)
-        self.deployment = Deployment(self.stack, address, self.record)
-        self.deployment.add_edges(regions, seeds, is_starting=False)
+        near = await self._start_platform(zones, 2, Server)
+        far = await self.store.listen("127.0.0.1", BETWEEN_REGIONS_S)
+        stores = {
+            region: near if region == STORE_REGION else far
+            for region in regions.values()
+        }
+        self.deployment = Deployment(self.stack, near, self.record)
+        self.deployment.add_edges(
+            regions, seeds, stores=stores, is_starting=False
+        )
         for edge in self.deployment.edges:
             edge.start()
             await edge.wait_ready()
--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -207,17 +207,21 @@
         regions: dict[str, str],
         seeds: int = 3,
         *,
+        stores: dict[str, str] | None = None,
         is_starting: bool = True,
     ) -> None:
         """Add one edge in each zone, and start them if ``is_starting``.
 
         ``regions`` has the region of each zone.  The first ``seeds`` edges
-        are the seeds of all.
+        are the seeds of all.  ``stores`` has the store's address as each
+        region reaches it, if they differ.
         """
         hosts = [f"{self._net}.{index + 1}" for index in range(len(regions))]
         for zone, host in zip(regions, hosts, strict=True):
             path = self._folder / f"{zone}.json"
             settings = self._build_settings(zone, host, hosts[:seeds], regions)
+            if stores is not None:
+                settings["platform"]["address"] = stores[regions[zone]]
             path.write_text(dumps(settings))
             edge = Edge(path, host, self._ports)
             self._stack.callback(edge.end)
--- a/review/standins2/http.py
+++ b/review/standins2/http.py
@@ -109,6 +109,7 @@
     """Answer the requests of one connection, one after the other.
 
     ``answer`` returns the bytes to write; None closes the connection.
+    It ends with the case, which cancels it.
     """
     try:
         while True:
@@ -120,5 +121,8 @@
             await writer.drain()
     except (EOFError, OSError, asyncio.LimitOverrunError):
         return
+    except asyncio.CancelledError:
+        # asyncio would print that the task was cancelled.
+        return
     finally:
         writer.close()
--- a/review/standins2/store.py
+++ b/review/standins2/store.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from functools import partial
 from json import dumps
 from json import loads
 from typing import Any
@@ -38,23 +39,27 @@
         self._events: list[tuple[int, str, Object, bool]] = []
         self._changed = asyncio.Event()
         self._answer_delay_s = answer_delay_s
-        self._server: asyncio.Server | None = None
-
-    async def listen(self, host: str) -> str:
-        """Listen on a free port of a loopback address; return the address."""
-        self._server = await asyncio.start_server(
-            lambda reader, writer: serve_connection(
-                reader, writer, self._answer
-            ),
+        self._servers: list[asyncio.Server] = []
+
+    async def listen(self, host: str, one_way_s: float = 0.0) -> str:
+        """Listen on a free port of a loopback address; return the address.
+
+        A call to it, and its answer, take ``one_way_s`` seconds each on the
+        way, as between two regions.
+        """
+        answer = partial(self._answer_from_afar, one_way_s)
+        server = await asyncio.start_server(
+            lambda reader, writer: serve_connection(reader, writer, answer),
             host,
             0,
         )
-        return f"{host}:{self._server.sockets[0].getsockname()[1]}"
+        self._servers.append(server)
+        return f"{host}:{server.sockets[0].getsockname()[1]}"
 
     def close(self) -> None:
         """Stop listening."""
-        if self._server is not None:
-            self._server.close()
+        for server in self._servers:
+            server.close()
 
     def put(
         self, kind: str, name: str, specification: Any, status: Any = None
@@ -101,6 +106,14 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    async def _answer_from_afar(
+        self, one_way_s: float, request: Message
+    ) -> bytes:
+        await asyncio.sleep(one_way_s)
+        answer = await self._answer(request)
+        await asyncio.sleep(one_way_s)
+        return answer
+
     async def _answer(self, request: Message) -> bytes:
         await asyncio.sleep(self._answer_delay_s)
         parts = urlsplit(request.second.decode("ascii"))
