Ask for keys also when no workspace is left

Cause: a configuration without `tenants` asks for no keys, one whose list is empty asks for keys that nobody holds. The decoder gave both as an empty mapping, and Admission._find_workspace took it for the first. That an older configuration was still in force is ruled out: it knows neither of the other keys.

Change: Catalog.requires_keys says whether the field was there, whatever it holds; admission looks at that alone. A list that is null counts as empty. The log line of an applied configuration has both figures.

--- a/src/gypsummount/_core/catalog.py
+++ b/src/gypsummount/_core/catalog.py
@@ -84,11 +84,14 @@
     """One complete configuration, indexed for look-up.
 
     ``owners`` maps each API key to the name of its workspace, and
-    ``hosts`` maps a host to its routes by path prefix.
+    ``hosts`` maps a host to its routes by path prefix.  With
+    ``requires_keys``, all routes but the open ones need a key, also if no
+    workspace is left that holds one.
     """
 
     version: int
     limits: CallerLimits
+    requires_keys: bool = True
     services: dict[str, EdgeService] = field(default_factory=dict)
     workspaces: dict[str, EdgeWorkspace] = field(default_factory=dict)
     owners: dict[str, str] = field(default_factory=dict)
--- a/src/gypsummount/_edge/admission.py
+++ b/src/gypsummount/_edge/admission.py
@@ -161,7 +161,7 @@
     def _find_workspace(
         self, catalog: Catalog, route: EdgeRoute, arrival: Arrival
     ) -> EdgeWorkspace | None:
-        if route.is_open or not catalog.workspaces:
+        if route.is_open or not catalog.requires_keys:
             return None
         if not arrival.key:
             raise KeyMissing("no key came; send the one you were given")
--- a/src/gypsummount/_edge/replica.py
+++ b/src/gypsummount/_edge/replica.py
@@ -290,6 +290,8 @@
                     "object": record.name,
                     "revision": get_revision(record.revision),
                     "origin": origin.value,
+                    "workspaces": len(value.workspaces),
+                    "requires_keys": value.requires_keys,
                 },
             )
         elif isinstance(value, UpstreamRecord):
--- a/src/gypsummount/platform/documents.py
+++ b/src/gypsummount/platform/documents.py
@@ -97,6 +97,9 @@
     catalog = Catalog(
         int(spec["version"]),
         CallerLimits(float(limits["idleTimeoutS"]), int(limits["bodyBytes"])),
+        # Without the field no route needs a key; an empty list of tenants
+        # leaves no key that is in force.
+        requires_keys="tenants" in spec,
     )
     for raw in spec["clusters"]:
         catalog.services[raw["name"]] = EdgeService(
