Split the look-up of routes and keys off admission

Route, key and the age of the proof that a refusal needs are now in _edge/authorization.py. No behaviour changes; tests of sends, time-outs, fronts and workspace lists passed.

--- a/src/gypsummount/_edge/admission.py
+++ b/src/gypsummount/_edge/admission.py
@@ -9,7 +9,6 @@
 from gypsummount._common.disconnects import CallerConnection
 from gypsummount._core.caller_deadlines import CallerDeadlines
 from gypsummount._core.canaries import Canary
-from gypsummount._core.catalog import Catalog
 from gypsummount._core.catalog import EdgeRoute
 from gypsummount._core.catalog import EdgeWorkspace
 from gypsummount._core.catalog import NO_HOME_REGIONS
@@ -17,6 +16,8 @@
 from gypsummount._core.placement import hash_object
 from gypsummount._core.service_times import classify_body
 from gypsummount._core.weighted_choice import WeightedChoice
+from gypsummount._edge.authorization import Authorization
+from gypsummount._edge.authorization import intersect_regions
 from gypsummount._edge.backends import Need
 from gypsummount._edge.replica import Replica
 from gypsummount._edge.rollouts import Rollouts
@@ -25,14 +26,10 @@
 from gypsummount._edge.wire import Arrival
 from gypsummount.errors import CallerDisconnected
 from gypsummount.errors import InstanceLeaving
-from gypsummount.errors import KeyMissing
 from gypsummount.errors import KeyRefused
-from gypsummount.errors import KeyStale
 from gypsummount.errors import NoCapacity
 from gypsummount.errors import NotReady
 from gypsummount.errors import RateExceeded
-from gypsummount.errors import RequestError
-from gypsummount.errors import RouteNotFound
 from gypsummount.errors import UpstreamFailed
 
 DEFAULT_CALLER_TIMEOUT_S = 30.0  # for callers that state no deadline
@@ -46,8 +43,6 @@
 # A caller that has waited longer than this fraction of the latency objective
 # was probably refused before; less may be variation of its deadlines.
 RETURNING_FRACTION = 0.05
-# Replicas whose freshness proof is older never refuse unknown routes or keys.
-MAX_CATALOG_AGE_S = 2.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -109,6 +104,7 @@
     ) -> None:
         self._drain = drain
         self._replica = replica
+        self._authorization = Authorization(replica)
         self._tokens = tokens
         self._rollouts = rollouts
         self._weighted_choice = WeightedChoice(random)
@@ -124,8 +120,8 @@
         catalog = self._replica.catalog
         if catalog is None or not self._replica.is_ready:
             raise NotReady("no configuration has arrived; try again in 1 s")
-        route = self._find_route(catalog, arrival)
-        workspace = self._find_workspace(catalog, route, arrival)
+        route = self._authorization.find_route(catalog, arrival)
+        workspace = self._authorization.find_workspace(catalog, route, arrival)
         remaining_s = arrival.remaining_s or DEFAULT_CALLER_TIMEOUT_S
         deadline = arrived_at + min(
             remaining_s - DEADLINE_MARGIN_S, route.timeout_s
@@ -151,53 +147,6 @@
         self._choose_version(context)
         return context
 
-    def _find_route(self, catalog: Catalog, arrival: Arrival) -> EdgeRoute:
-        route = catalog.find_route(arrival.host, arrival.path)
-        if route is not None:
-            return route
-        self._check_catalog_current()
-        raise RouteNotFound("no route has this host and path")
-
-    def _find_workspace(
-        self, catalog: Catalog, route: EdgeRoute, arrival: Arrival
-    ) -> EdgeWorkspace | None:
-        if route.is_open or not catalog.requires_keys:
-            return None
-        if not arrival.key:
-            raise KeyMissing("no key came; send the one you were given")
-        owner = catalog.find_owner(arrival.key)
-        if owner is None:
-            self._check_catalog_current()
-            raise KeyRefused("the key is not in force; ask your operator")
-        self._check_keys_current()
-        return owner
-
-    def _check_catalog_current(self) -> None:
-        """Check that the configuration is recent enough to refuse a request.
-
-        An unknown route or key may be in an update that is still missing.
-
-        :raises NotReady: if it may be out of date, so that the caller tries
-            another instance.
-        """
-        age_s = self._replica.proof.get_age(read_monotonic())
-        if age_s is None or age_s > MAX_CATALOG_AGE_S:
-            raise NotReady(
-                "the configuration may be out of date here; try another "
-                "instance"
-            )
-
-    def _check_keys_current(self) -> None:
-        """Check that no withdrawal of a key can have been missed.
-
-        :raises KeyStale: if one may have been missed.
-        """
-        if not self._replica.proof.is_fresh(read_monotonic()):
-            raise KeyStale(
-                "key withdrawals may have been missed here; try another "
-                "instance"
-            )
-
     def _build_need(
         self,
         route: EdgeRoute,
@@ -207,7 +156,7 @@
         waited_s: float,
     ) -> Need:
         service = self._weighted_choice.choose(route.name, route.destinations)
-        homes = _intersect_regions(
+        homes = intersect_regions(
             route.home_regions,
             workspace.home_regions if workspace else NO_HOME_REGIONS,
         )
@@ -319,7 +268,7 @@
         owner = self._replica.catalog.find_owner(context.arrival.key)
         if owner is None or owner.name != context.workspace.name:
             raise KeyRefused("the key was withdrawn; ask for a new one")
-        self._check_keys_current()
+        self._authorization.check_keys_current()
 
     def return_token(self, context: RequestContext) -> None:
         """Return the token of a request that was never sent."""
@@ -336,20 +285,3 @@
     )
     error.retry_after_s = grant.retry_after_s
     return error
-
-
-def _intersect_regions(
-    first: frozenset[str], second: frozenset[str]
-) -> frozenset[str]:
-    """Return the regions allowed by both; empty means any region.
-
-    :raises RequestError: if both are limited and have none in common.
-    """
-    if not first:
-        return second
-    if not second:
-        return first
-    both = first & second
-    if not both:
-        raise RequestError("the route and the workspace share no home region")
-    return both
