Check waiting requests against a configuration that arrives

What callers saw: a request that needed no key at its arrival ran after a configuration had arrived under which it needs one, if it waited for a slot or was to be sent again; one that got home regions meanwhile could run elsewhere. A key that had moved, or was no longer needed, got 401.

Cause: the last check before a send looked for the key's workspace only if the request had one, and compared nothing else.

Change: the context keeps the configuration under which it was checked; under another one, route, key and homes are looked up again. A request of another workspace, or with fewer homes, is refused as not run (new code configuration_changed) and sent again by its caller.

--- a/src/gypsummount/_edge/admission.py
+++ b/src/gypsummount/_edge/admission.py
@@ -9,15 +9,15 @@
 from gypsummount._common.disconnects import CallerConnection
 from gypsummount._core.caller_deadlines import CallerDeadlines
 from gypsummount._core.canaries import Canary
+from gypsummount._core.catalog import Catalog
 from gypsummount._core.catalog import EdgeRoute
 from gypsummount._core.catalog import EdgeWorkspace
-from gypsummount._core.catalog import NO_HOME_REGIONS
 from gypsummount._core.draining import Drain
 from gypsummount._core.placement import hash_object
 from gypsummount._core.service_times import classify_body
 from gypsummount._core.weighted_choice import WeightedChoice
 from gypsummount._edge.authorization import Authorization
-from gypsummount._edge.authorization import intersect_regions
+from gypsummount._edge.authorization import find_home_regions
 from gypsummount._edge.backends import Need
 from gypsummount._edge.replica import Replica
 from gypsummount._edge.rollouts import Rollouts
@@ -25,8 +25,8 @@
 from gypsummount._edge.tokens import Tokens
 from gypsummount._edge.wire import Arrival
 from gypsummount.errors import CallerDisconnected
+from gypsummount.errors import ConfigurationChanged
 from gypsummount.errors import InstanceLeaving
-from gypsummount.errors import KeyRefused
 from gypsummount.errors import NoCapacity
 from gypsummount.errors import NotReady
 from gypsummount.errors import RateExceeded
@@ -66,7 +66,8 @@
     """A request in progress and the decisions made about it.
 
     ``arrived_at`` and ``deadline`` are in seconds of the boot clock.
-    ``usage_window`` is the window in which the last send was counted.
+    ``usage_window`` is the window in which the last send was counted, and
+    ``catalog`` the configuration under which the request was last checked.
     """
 
     arrival: Arrival
@@ -84,6 +85,7 @@
     may_have_run: bool = False
     last_send: Send | None = None
     usage_window: int | None = None
+    catalog: Catalog | None = None
 
     @property
     def workspace_name(self) -> str | None:
@@ -142,6 +144,7 @@
             deadline,
             need,
             need,
+            catalog=catalog,
         )
         self._check_drain(context)
         self._choose_version(context)
@@ -156,10 +159,7 @@
         waited_s: float,
     ) -> Need:
         service = self._weighted_choice.choose(route.name, route.destinations)
-        homes = intersect_regions(
-            route.home_regions,
-            workspace.home_regions if workspace else NO_HOME_REGIONS,
-        )
+        homes = find_home_regions(route, workspace)
         affinity_key = (
             arrival.affinity if arrival.affinity else arrival.request_id
         )
@@ -255,7 +255,8 @@
         :raises CallerDisconnected: if the caller has disconnected.
         :raises InstanceLeaving: if it may outlast this instance.
         :raises UpstreamFailed: in that case too, if it may have run.
-        :raises KeyRefused: if the key was withdrawn in the meantime.
+        :raises RequestError: if another configuration has arrived meanwhile
+            that does not allow it, for example as the key was withdrawn.
         :raises KeyStale: if a withdrawal may have been missed.
         """
         if context.caller.has_disconnected():
@@ -263,12 +264,40 @@
                 "the caller has left; nothing is sent for it"
             )
         self._check_drain(context)
-        if context.workspace is None:
+        if self._replica.catalog is not context.catalog:
+            self._check_still_allowed(context)
+        if context.workspace is not None:
+            self._authorization.check_keys_current()
+
+    def _check_still_allowed(self, context: RequestContext) -> None:
+        """Check a request against a configuration that has arrived since.
+
+        A request in progress on a route that was removed may end.
+
+        :raises ConfigurationChanged: if the request would be admitted, but
+            for another workspace or for fewer home regions.
+        :raises UpstreamFailed: in that case too, if it may have run.
+        :raises RequestError: if it would not be admitted.
+        """
+        catalog = self._replica.catalog
+        arrival = context.arrival
+        route = catalog.find_route(arrival.host, arrival.path) or context.route
+        workspace = self._authorization.find_workspace(catalog, route, arrival)
+        name = workspace.name if workspace else None
+        homes = find_home_regions(route, workspace)
+        if name == context.workspace_name and _is_within(
+            context.need.regions, homes
+        ):
+            context.catalog = catalog
             return
-        owner = self._replica.catalog.find_owner(context.arrival.key)
-        if owner is None or owner.name != context.workspace.name:
-            raise KeyRefused("the key was withdrawn; ask for a new one")
-        self._authorization.check_keys_current()
+        if context.may_have_run:
+            raise UpstreamFailed(
+                "the upstream failed and the configuration has changed; send "
+                "again"
+            )
+        raise ConfigurationChanged(
+            "the configuration has changed meanwhile; send again"
+        )
 
     def return_token(self, context: RequestContext) -> None:
         """Return the token of a request that was never sent."""
@@ -276,6 +305,16 @@
             self._tokens.refund(context.workspace.name)
 
 
+def _is_within(regions: frozenset[str], homes: frozenset[str]) -> bool:
+    """Tell whether a request limited to regions stays in its home regions.
+
+    An empty set means any region in both.
+    """
+    if not homes:
+        return True
+    return bool(regions) and regions <= homes
+
+
 def _build_rate_exceeded(
     workspace: EdgeWorkspace, grant: TokenGrant
 ) -> RateExceeded:
--- a/src/gypsummount/_edge/authorization.py
+++ b/src/gypsummount/_edge/authorization.py
@@ -83,7 +83,19 @@
             )
 
 
-def intersect_regions(
+def find_home_regions(
+    route: EdgeRoute, workspace: EdgeWorkspace | None
+) -> frozenset[str]:
+    """Return where a request may run; empty means any region.
+
+    :raises RequestError: if route and workspace have no region in common.
+    """
+    if workspace is None:
+        return route.home_regions
+    return _intersect_regions(route.home_regions, workspace.home_regions)
+
+
+def _intersect_regions(
     first: frozenset[str], second: frozenset[str]
 ) -> frozenset[str]:
     """Return the regions allowed by both; empty means any region.
--- a/src/gypsummount/errors.py
+++ b/src/gypsummount/errors.py
@@ -157,6 +157,16 @@
     retry_after_s = 1
 
 
+class ConfigurationChanged(RequestError):
+    """The request was admitted under a configuration now out of force.
+
+    It belongs to another workspace now, or has fewer home regions.
+    """
+
+    code = "configuration_changed"
+    retry_after_s = 0.02
+
+
 class InstanceLeaving(RequestError):
     """The instance stops before the request is sure to have ended."""
 
--- /dev/null
+++ b/tests/edge/test_changed_configurations.py
@@ -0,0 +1,231 @@
+"""Requests that wait or retry while another configuration arrives."""
+
+from random import Random
+
+import pytest
+
+from gypsummount._common.clocks import read_monotonic
+from gypsummount._core.catalog import CallerLimits
+from gypsummount._core.catalog import Catalog
+from gypsummount._core.catalog import Destination
+from gypsummount._core.catalog import EdgeRoute
+from gypsummount._core.catalog import EdgeWorkspace
+from gypsummount._core.draining import Drain
+from gypsummount._core.freshness import FreshnessProof
+from gypsummount._edge.admission import Admission
+from gypsummount._edge.replica import Replica
+from gypsummount._edge.rollouts import Rollouts
+from gypsummount._edge.store_feed import Kind
+from gypsummount._edge.wire import Arrival
+from gypsummount.errors import ConfigurationChanged
+from gypsummount.errors import KeyMissing
+from gypsummount.errors import KeyRefused
+from gypsummount.errors import UpstreamFailed
+
+HOST = "h"
+
+
+class _Caller:
+    def has_disconnected(self):
+        return False
+
+
+def create_arrival(key):
+    return Arrival(
+        request_id="id",
+        host=HOST,
+        method="GET",
+        target="/a/x",
+        path="/a/x",
+        headers=(),
+        body=b"",
+        key=key,
+        affinity=None,
+        remaining_s=5.0,
+    )
+
+
+def create_route(*, is_open=False, regions=()):
+    return EdgeRoute(
+        "r",
+        HOST,
+        "/a/",
+        (Destination("s", 1.0),),
+        repeatable=True,
+        is_open=is_open,
+        is_sticky=False,
+        timeout_s=4.0,
+        objective_s=1.0,
+        attempts=2,
+        priority=0,
+        home_regions=frozenset(regions),
+    )
+
+
+def create_catalog(
+    version, *, requires_keys=True, routes=None, workspaces=(), owners=None
+):
+    catalog = Catalog(version, CallerLimits(15.0, 1000), requires_keys)
+    for route in [create_route()] if routes is None else routes:
+        catalog.add_route(route)
+    for workspace in workspaces:
+        catalog.workspaces[workspace.name] = workspace
+    catalog.owners.update(owners or {})
+    return catalog
+
+
+def create_workspace(name, regions=()):
+    return EdgeWorkspace(name, 0.0, 0.0, 0, frozenset(regions))
+
+
+class Harness:
+    """Admits a request under one catalog and checks it under another."""
+
+    def __init__(self):
+        now = read_monotonic()
+        self.replica = Replica(None, FreshnessProof(4.0))
+        for kind in Kind:
+            self.replica.revisions[kind] = 1
+        self.replica.proof.record_read(1, now)
+        rollouts = Rollouts("n1", self.replica, None)
+        self.admission = Admission(
+            self.replica, None, rollouts, Random(1), Drain()
+        )
+
+    def admit(self, catalog, key):
+        self.replica.catalog = catalog
+        return self.admission.create_context(
+            create_arrival(key), _Caller(), read_monotonic()
+        )
+
+    def recheck(self, context, catalog):
+        self.replica.catalog = catalog
+        self.admission.recheck(context)
+
+
+@pytest.fixture
+def harness():
+    return Harness()
+
+
+class TestKeys:
+    def test_request_without_a_key_is_not_sent_once_keys_are_needed(
+        self, harness
+    ):
+        """Guards against requests that wait for a slot and need no key."""
+        free = create_catalog(1, requires_keys=False)
+        context = harness.admit(free, None)
+        with pytest.raises(KeyMissing):
+            harness.recheck(context, create_catalog(2))
+
+    def test_unknown_key_is_refused_once_keys_are_needed(self, harness):
+        free = create_catalog(1, requires_keys=False)
+        context = harness.admit(free, "unknown")
+        with pytest.raises(KeyRefused):
+            harness.recheck(context, create_catalog(2))
+
+    def test_route_that_is_no_longer_open_needs_a_key(self, harness):
+        """Guards against retries on a route that was closed."""
+        routes = [create_route(is_open=True)]
+        context = harness.admit(create_catalog(1, routes=routes), None)
+        with pytest.raises(KeyMissing):
+            harness.recheck(context, create_catalog(2))
+
+    def test_key_of_the_last_workspace_is_refused(self, harness):
+        before = create_catalog(
+            1, workspaces=[create_workspace("w")], owners={"k": "w"}
+        )
+        context = harness.admit(before, "k")
+        with pytest.raises(KeyRefused):
+            harness.recheck(context, create_catalog(2))
+
+    def test_unchanged_workspace_is_served(self, harness):
+        workspaces = [create_workspace("w")]
+        owners = {"k": "w"}
+        before = create_catalog(1, workspaces=workspaces, owners=owners)
+        context = harness.admit(before, "k")
+        after = create_catalog(2, workspaces=workspaces, owners=owners)
+        harness.recheck(context, after)
+        assert context.workspace_name == "w"
+
+    def test_request_in_progress_on_a_removed_route_ends(self, harness):
+        workspaces = [create_workspace("w")]
+        owners = {"k": "w"}
+        before = create_catalog(1, workspaces=workspaces, owners=owners)
+        context = harness.admit(before, "k")
+        after = create_catalog(
+            2, routes=[], workspaces=workspaces, owners=owners
+        )
+        harness.recheck(context, after)
+
+
+class TestOtherWorkspace:
+    """The caller sends again what was admitted for another workspace.
+
+    Guards against refused keys, and against the name of a workspace that
+    no longer holds the key.
+    """
+
+    def test_key_that_moved_is_sent_again(self, harness):
+        both = [create_workspace("v"), create_workspace("w")]
+        before = create_catalog(1, workspaces=both, owners={"k": "v"})
+        context = harness.admit(before, "k")
+        after = create_catalog(2, workspaces=both, owners={"k": "w"})
+        with pytest.raises(ConfigurationChanged):
+            harness.recheck(context, after)
+
+    def test_key_is_no_longer_needed(self, harness):
+        before = create_catalog(
+            1, workspaces=[create_workspace("w")], owners={"k": "w"}
+        )
+        context = harness.admit(before, "k")
+        with pytest.raises(ConfigurationChanged):
+            harness.recheck(context, create_catalog(2, requires_keys=False))
+
+    def test_key_is_needed_and_granted(self, harness):
+        context = harness.admit(create_catalog(1, requires_keys=False), "k")
+        after = create_catalog(
+            2, workspaces=[create_workspace("w")], owners={"k": "w"}
+        )
+        with pytest.raises(ConfigurationChanged):
+            harness.recheck(context, after)
+
+    def test_request_that_may_have_run_is_not_called_not_run(self, harness):
+        before = create_catalog(
+            1, workspaces=[create_workspace("w")], owners={"k": "w"}
+        )
+        context = harness.admit(before, "k")
+        context.may_have_run = True
+        with pytest.raises(UpstreamFailed):
+            harness.recheck(context, create_catalog(2, requires_keys=False))
+
+
+class TestHomeRegions:
+    def build(self, version, *, route=(), workspace=()):
+        return create_catalog(
+            version,
+            routes=[create_route(regions=route)],
+            workspaces=[create_workspace("w", workspace)],
+            owners={"k": "w"},
+        )
+
+    @pytest.mark.parametrize(
+        "homes", [{"route": ["r1"]}, {"workspace": ["r1"]}]
+    )
+    def test_request_is_sent_again_once_it_has_homes(self, harness, homes):
+        """Guards against sends to a region that is no longer a home."""
+        context = harness.admit(self.build(1), "k")
+        with pytest.raises(ConfigurationChanged):
+            harness.recheck(context, self.build(2, **homes))
+
+    def test_request_is_sent_again_when_its_homes_change(self, harness):
+        before = self.build(1, route=["r1", "r2"])
+        context = harness.admit(before, "k")
+        with pytest.raises(ConfigurationChanged):
+            harness.recheck(context, self.build(2, route=["r2"]))
+
+    def test_further_homes_change_nothing(self, harness):
+        before = self.build(1, route=["r1"])
+        context = harness.admit(before, "k")
+        harness.recheck(context, self.build(2, route=["r1", "r2"]))
+        harness.recheck(context, self.build(3))
--- a/tests/platform/test_workspace_lists.py
+++ b/tests/platform/test_workspace_lists.py
@@ -1,5 +1,6 @@
 """Configurations whose list of workspaces is empty, null or missing."""
 
+from asyncio import create_task
 from asyncio import gather
 from asyncio import sleep
 
@@ -9,6 +10,7 @@
 from tests.platform.doubles import build_config
 
 APPLY_S = 0.5
+BUSY_S = 0.8
 UNKNOWN_KEY = "never-granted"
 FIRST = 1
 SECOND = 3
@@ -94,3 +96,39 @@
         for number in (FIRST, SECOND):
             statuses = await call_with_each_key(region, number)
             assert statuses == [200, 200, 200]
+
+
+class TestWaitingRequests:
+    async def test_request_that_waits_is_not_sent_without_a_key(
+        self, instance
+    ):
+        """Guards against requests that waited while all keys were withdrawn.
+
+        Upstreams are busy with the first requests when the list of
+        workspaces becomes empty.
+        """
+        for name, server in instance.servers.items():
+            server.delay_s = BUSY_S
+            record = instance.store.objects["servers"][name]["specification"]
+            instance.store.put("servers", name, {**record, "slots": 1})
+        config = build_without_workspaces(4)
+        for rule in config["listeners"][0]["rules"]:
+            rule["targetLatencyS"] = rule["action"]["timeoutS"] = 3 * BUSY_S
+        instance.store.put("config", "main", config)
+        await sleep(APPLY_S)
+        calls = [
+            create_task(
+                instance.call(
+                    1, "GET", "/read/x", key=None, request_id=f"id-{number}"
+                )
+            )
+            for number in range(4)
+        ]
+        await sleep(BUSY_S / 4)
+        ran = count_runs(instance)
+        assert 0 < ran < len(calls)
+        config = {**config, "version": 5, "tenants": []}
+        instance.store.put("config", "main", config)
+        statuses = [(await call).status for call in calls]
+        assert statuses.count(200) == count_runs(instance) == ran
+        assert statuses.count(401) == len(calls) - ran
