Move the readers of fields out of the documents' decoder

They are in platform/fields.py now. No behaviour changes; test_decoders.py and test_odd_entries.py passed.

--- a/src/gypsummount/platform/documents.py
+++ b/src/gypsummount/platform/documents.py
@@ -28,7 +28,6 @@
 from json import loads
 from math import isfinite
 import re
-from typing import Any
 
 from gypsummount._common.addresses import check_ip
 from gypsummount._common.decoding import DECODING_ERRORS
@@ -48,6 +47,9 @@
 from gypsummount._edge.store_feed import Value
 from gypsummount.errors import ConfigError
 from gypsummount.errors import RecordInvalid
+from gypsummount.platform.fields import Document
+from gypsummount.platform.fields import read_int
+from gypsummount.platform.fields import read_text
 
 DEFAULT_TIMEOUT_S = 30.0
 DEFAULT_ATTEMPTS = 1
@@ -92,7 +94,7 @@
         ) from None
 
 
-def _decode_catalog(spec: dict[str, Any]) -> Catalog:
+def _decode_catalog(spec: Document) -> Catalog:
     limits = spec["limits"]
     catalog = Catalog(
         int(spec["version"]),
@@ -121,7 +123,7 @@
     return catalog
 
 
-def _decode_workspace(raw: dict[str, Any]) -> EdgeWorkspace:
+def _decode_workspace(raw: Document) -> EdgeWorkspace:
     return EdgeWorkspace(
         raw["name"],
         float(raw.get("requestsPerS") or 0.0),
@@ -131,7 +133,7 @@
     )
 
 
-def _decode_route(host: str, raw: dict[str, Any]) -> EdgeRoute:
+def _decode_route(host: str, raw: Document) -> EdgeRoute:
     action = raw["action"]
     timeout_s = float(action.get("timeoutS") or DEFAULT_TIMEOUT_S)
     return EdgeRoute(
@@ -151,7 +153,7 @@
     )
 
 
-def _decode_destinations(action: dict[str, Any]) -> tuple[Destination, ...]:
+def _decode_destinations(action: Document) -> tuple[Destination, ...]:
     """Return the services of a route, without those of zero weight."""
     splits = action.get("trafficSplit")
     if not splits:
@@ -163,14 +165,14 @@
     )
 
 
-def _decode_upstream(name: str, spec: dict[str, Any]) -> UpstreamRecord:
-    state = _read_text(spec, "state")
+def _decode_upstream(name: str, spec: Document) -> UpstreamRecord:
+    state = read_text(spec, "state")
     if state not in UPSTREAM_STATES:
         raise ValueError(f"unknown state '{state}'")
     address = _read_address(spec)
-    slots = _read_int(spec, "slots", lowest=1, highest=MAX_SLOTS)
+    slots = read_int(spec, "slots", lowest=1, highest=MAX_SLOTS)
     # Number of the upstream's heartbeats since its start.
-    sequence = _read_int(spec, "sequence", lowest=0, highest=MAX_SEQUENCE)
+    sequence = read_int(spec, "sequence", lowest=0, highest=MAX_SEQUENCE)
     cold_s = spec["coldRemainingS"]
     if isinstance(cold_s, bool) or not isinstance(cold_s, (int, float)):
         raise ValueError("coldRemainingS")
@@ -179,13 +181,13 @@
     # Unix time (ms) of the upstream's start, or 0 if unknown.
     started_ms = 0
     if "born" in spec:
-        started_ms = _read_int(spec, "born", lowest=0, highest=MAX_STARTED_MS)
+        started_ms = read_int(spec, "born", lowest=0, highest=MAX_STARTED_MS)
     return UpstreamRecord(
         name,
-        _read_text(spec, "service"),
+        read_text(spec, "service"),
         address,
-        _read_text(spec, "zone"),
-        _read_text(spec, "version"),
+        read_text(spec, "zone"),
+        read_text(spec, "version"),
         slots,
         state == "ready",
         float(cold_s),
@@ -194,7 +196,7 @@
     )
 
 
-def _decode_rollout(record: Record, raw: dict[str, Any]) -> RolloutOrder:
+def _decode_rollout(record: Record, raw: Document) -> RolloutOrder:
     spec = raw["specification"]
     status = raw.get("status") or {}
     return RolloutOrder(
@@ -210,31 +212,8 @@
     )
 
 
-def _read_text(spec: dict[str, Any], name: str) -> str:
-    """Return a field that must be a text and not empty."""
-    value = spec[name]
-    if not isinstance(value, str) or not value:
-        raise ValueError(name)
-    return value
-
-
-def _read_int(
-    spec: dict[str, Any], name: str, *, lowest: int, highest: int
-) -> int:
-    """Return a field that must be an integer within limits.
-
-    A JSON boolean is none.
-    """
-    value = spec[name]
-    if isinstance(value, bool) or not isinstance(value, int):
-        raise ValueError(name)
-    if not lowest <= value <= highest:
-        raise ValueError(f"{name} is not between {lowest} and {highest}")
-    return value
-
-
-def _read_address(spec: dict[str, Any]) -> str:
-    address = _read_text(spec, "address")
+def _read_address(spec: Document) -> str:
+    address = read_text(spec, "address")
     host, _, port = address.rpartition(":")
     if not _PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
         raise ValueError(
