Read lists of the configuration as lists

What callers saw: with `apiKeys` a text, each of its letters was a key; `homeRegions` that were "", {}, 0 or false lifted the homes, and such a `trafficSplit` sent all to `service`. A workspace whose `apiKeys` were null or missing made the whole configuration unreadable, so that the one before stayed in force, with the keys that the new one withdraws, until the proof of freshness expired.

Cause: `x or ()` and iteration, which take anything falsy for an empty list and a text for a list of letters.

Change: lists are read by read_list and read_texts; null and missing are empty, another type is rejected. An empty list of homes still means any region, as the wire's examples have it.

Measured: tests/platform/test_documents.py (these four classes), before: 32 failed; after: all passed, and test_decoders.py.

--- a/src/gypsummount/platform/documents.py
+++ b/src/gypsummount/platform/documents.py
@@ -49,7 +49,9 @@
 from gypsummount.errors import RecordInvalid
 from gypsummount.platform.fields import Document
 from gypsummount.platform.fields import read_int
+from gypsummount.platform.fields import read_list
 from gypsummount.platform.fields import read_text
+from gypsummount.platform.fields import read_texts
 
 DEFAULT_TIMEOUT_S = 30.0
 DEFAULT_ATTEMPTS = 1
@@ -111,10 +113,10 @@
             float(raw.get("coldPerS") or 0.0),
             str(raw.get("healthPath") or ""),
         )
-    for raw in spec.get("tenants") or ():
+    for raw in read_list(spec, "tenants"):
         workspace = _decode_workspace(raw)
         catalog.workspaces[workspace.name] = workspace
-        for key in raw["apiKeys"]:
+        for key in read_texts(raw, "apiKeys"):
             catalog.add_key(key, workspace.name)
     for listener in spec["listeners"]:
         for rule in listener["rules"]:
@@ -129,7 +131,7 @@
         float(raw.get("requestsPerS") or 0.0),
         float(raw.get("burst") or 0.0),
         int(raw.get("priority") or 0),
-        frozenset(raw.get("homeRegions") or ()),
+        frozenset(read_texts(raw, "homeRegions")),
     )
 
 
@@ -149,13 +151,13 @@
         objective_s=float(raw.get("targetLatencyS") or timeout_s),
         attempts=int(action.get("attempts") or DEFAULT_ATTEMPTS),
         priority=int(raw.get("priority") or 0),
-        home_regions=frozenset(action.get("homeRegions") or ()),
+        home_regions=frozenset(read_texts(action, "homeRegions")),
     )
 
 
 def _decode_destinations(action: Document) -> tuple[Destination, ...]:
     """Return the services of a route, without those of zero weight."""
-    splits = action.get("trafficSplit")
+    splits = read_list(action, "trafficSplit")
     if not splits:
         return (Destination(action["service"], 1.0),)
     return tuple(
--- a/src/gypsummount/platform/fields.py
+++ b/src/gypsummount/platform/fields.py
@@ -1,6 +1,7 @@
 """Typed fields of the store's JSON documents.
 
-A ``ValueError`` whose text is one
+Empty, zero, null and missing are four different values.  Each function
+states which of them it takes for which.  A ``ValueError`` whose text is one
 word names the invalid field.
 """
 
@@ -28,3 +29,24 @@
     if not lowest <= value <= highest:
         raise ValueError(f"{name} is not between {lowest} and {highest}")
     return value
+
+
+def read_list(raw: Document, name: str) -> list[Any]:
+    """Return a list; it is empty if it is null or missing.
+
+    A text or an object is no list, though Python can iterate over it.
+    """
+    value = raw.get(name)
+    if value is None:
+        return []
+    if not isinstance(value, list):
+        raise ValueError(name)
+    return value
+
+
+def read_texts(raw: Document, name: str) -> list[str]:
+    """Return a list of texts that are not empty."""
+    texts = read_list(raw, name)
+    if not all(isinstance(text, str) and text for text in texts):
+        raise ValueError(name)
+    return texts
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,123 @@
+"""Fields of documents that are empty, zero, null, missing or mistyped."""
+
+from copy import deepcopy
+from json import dumps
+
+import pytest
+
+from gypsummount._edge.store_feed import Kind
+from gypsummount._edge.store_feed import Record
+from gypsummount.errors import RecordInvalid
+from gypsummount.platform.documents import decode_record
+from tests.platform.doubles import build_config
+
+MISSING = object()
+
+
+def decode(config):
+    payload = dumps({"metadata": {}, "specification": config}).encode()
+    return decode_record(Record(Kind.CATALOG, "main", 7, payload))
+
+
+def build_changed(name, value, *, key=None):
+    """Return a configuration with a field of one of its parts changed.
+
+    The part is the tenant, the cluster, the rule or the rule's action.
+    """
+    config = deepcopy(build_config(3, ["k"]))
+    rule = config["listeners"][0]["rules"][0]
+    part = {
+        "tenant": config["tenants"][0],
+        "cluster": config["clusters"][0],
+        "rule": rule,
+        "action": rule["action"],
+    }[key]
+    part.pop(name, None)
+    if value is not MISSING:
+        part[name] = value
+    return config
+
+
+def decode_changed(part, name, value):
+    return decode(build_changed(name, value, key=part))
+
+
+def find_route(catalog):
+    return catalog.find_route("h.example", "/read/x")
+
+
+def reject(part, name, value, *, match):
+    with pytest.raises(RecordInvalid, match=match):
+        decode_changed(part, name, value)
+
+
+class TestTenants:
+    @pytest.mark.parametrize("tenants", [[], None])
+    def test_keys_are_needed_if_the_field_is_there(self, tenants):
+        """Guards against routes without keys once the last one is gone."""
+        catalog = decode({**build_config(3, []), "tenants": tenants})
+        assert catalog.requires_keys
+        assert not catalog.owners
+
+    def test_no_key_is_needed_without_the_field(self):
+        config = build_config(3, [])
+        del config["tenants"]
+        assert not decode(config).requires_keys
+
+    @pytest.mark.parametrize("tenants", ["w", {}, {"w": {}}, 0, False])
+    def test_other_types_are_rejected(self, tenants):
+        with pytest.raises(RecordInvalid, match="tenants"):
+            decode({**build_config(3, []), "tenants": tenants})
+
+
+class TestKeys:
+    @pytest.mark.parametrize("keys", [[], None, MISSING])
+    def test_workspace_without_keys_has_none(self, keys):
+        """Guards against withdrawn keys that work on.
+
+        A configuration that can't be decoded leaves the last one in force.
+        """
+        catalog = decode_changed("tenant", "apiKeys", keys)
+        assert catalog.owners == {}
+        assert catalog.requires_keys
+
+    @pytest.mark.parametrize("keys", ["secret", {"s": 1}, 0, False])
+    def test_characters_of_a_text_are_no_keys(self, keys):
+        """Guards against keys of one character."""
+        reject("tenant", "apiKeys", keys, match="apiKeys")
+
+    @pytest.mark.parametrize("key", ["", None, 7])
+    def test_odd_key_is_rejected(self, key):
+        reject("tenant", "apiKeys", ["k", key], match="apiKeys")
+
+
+class TestHomeRegions:
+    @pytest.mark.parametrize("part", ["tenant", "action"])
+    @pytest.mark.parametrize("regions", [[], None, MISSING])
+    def test_none_means_any_region(self, part, regions):
+        """The operators write an empty list where there are no homes."""
+        catalog = decode_changed(part, "homeRegions", regions)
+        assert catalog.workspaces["w"].home_regions == frozenset()
+        assert find_route(catalog).home_regions == frozenset()
+
+    @pytest.mark.parametrize("part", ["tenant", "action"])
+    @pytest.mark.parametrize("regions", ["", "r1", {}, 0, False, [""], [None]])
+    def test_odd_regions_are_rejected(self, part, regions):
+        """Guards against homes that an odd value lifts.
+
+        Upstreams of domains that the settings do not list have "" as
+        their region.
+        """
+        reject(part, "homeRegions", regions, match="homeRegions")
+
+
+class TestShares:
+    @pytest.mark.parametrize("splits", [[], None, MISSING])
+    def test_without_a_split_the_service_gets_all(self, splits):
+        catalog = decode_changed("action", "trafficSplit", splits)
+        destinations = find_route(catalog).destinations
+        assert [destination.service for destination in destinations] == ["s"]
+
+    @pytest.mark.parametrize("splits", ["", {}, 0, False])
+    def test_odd_split_is_rejected(self, splits):
+        reject("action", "trafficSplit", splits, match="trafficSplit")
