Open a route only for JSON's true

What callers saw: a route with `public` "false", or any number but 0, asked for no key.

Cause: bool() of any value that is not empty is true.

Change: read_flag compares with true; every other value keeps the route closed, and `sticky` off. The configuration as a whole stays readable, so what else it withdraws takes effect.

Measured: test_documents.py::TestPublicRoutes, before: 3 of 7 failed; after: passed.

--- a/src/gypsummount/platform/documents.py
+++ b/src/gypsummount/platform/documents.py
@@ -48,6 +48,7 @@
 from gypsummount.errors import ConfigError
 from gypsummount.errors import RecordInvalid
 from gypsummount.platform.fields import Document
+from gypsummount.platform.fields import read_flag
 from gypsummount.platform.fields import read_int
 from gypsummount.platform.fields import read_list
 from gypsummount.platform.fields import read_text
@@ -144,8 +145,8 @@
         prefix=raw["match"]["pathPrefix"],
         destinations=_decode_destinations(action),
         repeatable=raw["kind"] == "safe",
-        is_open=bool(raw.get("public")),
-        is_sticky=bool(raw.get("sticky")),
+        is_open=read_flag(raw, "public"),
+        is_sticky=read_flag(raw, "sticky"),
         timeout_s=timeout_s,
         # The latency objective; without one, it is the timeout.
         objective_s=float(raw.get("targetLatencyS") or timeout_s),
--- a/src/gypsummount/platform/fields.py
+++ b/src/gypsummount/platform/fields.py
@@ -50,3 +50,8 @@
     if not all(isinstance(text, str) and text for text in texts):
         raise ValueError(name)
     return texts
+
+
+def read_flag(raw: Document, name: str) -> bool:
+    """Return whether a field is JSON's ``true``; no other value counts."""
+    return raw.get(name) is True
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -91,6 +91,17 @@
         reject("tenant", "apiKeys", ["k", key], match="apiKeys")
 
 
+class TestPublicRoutes:
+    @pytest.mark.parametrize("value", [False, None, MISSING, "false", 1, [1]])
+    def test_only_true_opens_a_route(self, value):
+        """Guards against routes that a text or a number opens."""
+        route = find_route(decode_changed("rule", "public", value))
+        assert not route.is_open
+
+    def test_true_opens_a_route(self):
+        assert find_route(decode_changed("rule", "public", True)).is_open
+
+
 class TestHomeRegions:
     @pytest.mark.parametrize("part", ["tenant", "action"])
     @pytest.mark.parametrize("regions", [[], None, MISSING])
