Lift a workspace's rate only for zero or a missing field

What callers saw: a workspace whose `requestsPerS` was null, negative, false, "" or [] ran without a limit; NaN made its limit arbitrary.

Cause: `float(x or 0.0)`, where 0 means no limit, and `rate <= 0` in the tokens, which takes a negative rate for that too.

Change: read_limit returns a number of 0 or more, or None if the field is missing; anything else is rejected, as other invalid values are: the configuration before stays in force and keyed requests end with key_stale. PROTOCOL.md: "0 or omitted means no limit".

--- a/src/gypsummount/platform/documents.py
+++ b/src/gypsummount/platform/documents.py
@@ -50,6 +50,7 @@
 from gypsummount.platform.fields import Document
 from gypsummount.platform.fields import read_flag
 from gypsummount.platform.fields import read_int
+from gypsummount.platform.fields import read_limit
 from gypsummount.platform.fields import read_list
 from gypsummount.platform.fields import read_text
 from gypsummount.platform.fields import read_texts
@@ -129,8 +130,8 @@
 def _decode_workspace(raw: Document) -> EdgeWorkspace:
     return EdgeWorkspace(
         raw["name"],
-        float(raw.get("requestsPerS") or 0.0),
-        float(raw.get("burst") or 0.0),
+        read_limit(raw, "requestsPerS") or 0.0,
+        read_limit(raw, "burst") or 0.0,
         int(raw.get("priority") or 0),
         frozenset(read_texts(raw, "homeRegions")),
     )
--- a/src/gypsummount/platform/fields.py
+++ b/src/gypsummount/platform/fields.py
@@ -5,6 +5,7 @@
 word names the invalid field.
 """
 
+from math import isfinite
 from typing import Any
 
 Document = dict[str, Any]
@@ -55,3 +56,18 @@
 def read_flag(raw: Document, name: str) -> bool:
     """Return whether a field is JSON's ``true``; no other value counts."""
     return raw.get(name) is True
+
+
+def read_limit(raw: Document, name: str) -> float | None:
+    """Return a number that is not negative, None if it is missing.
+
+    Null is no number, so that it can't be taken for "no limit".
+    """
+    if name not in raw:
+        return None
+    value = raw[name]
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise ValueError(name)
+    if not isfinite(value) or value < 0:
+        raise ValueError(f"{name} is {value}; it must be 0 or more")
+    return float(value)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -102,6 +102,24 @@
         assert find_route(decode_changed("rule", "public", True)).is_open
 
 
+class TestRates:
+    @pytest.mark.parametrize("rate", [0, 0.0, MISSING])
+    def test_zero_and_missing_are_no_limit(self, rate):
+        catalog = decode_changed("tenant", "requestsPerS", rate)
+        assert catalog.workspaces["w"].rate == 0
+
+    @pytest.mark.parametrize(
+        "rate", [None, "", "0", [], {}, False, -1, float("nan"), float("inf")]
+    )
+    def test_other_values_are_not_taken_for_no_limit(self, rate):
+        """Guards against workspaces whose rate is lifted by an odd value."""
+        reject("tenant", "requestsPerS", rate, match="requestsPerS")
+
+    @pytest.mark.parametrize("burst", [None, "9", -1, float("nan")])
+    def test_odd_burst_is_rejected(self, burst):
+        reject("tenant", "burst", burst, match="burst")
+
+
 class TestHomeRegions:
     @pytest.mark.parametrize("part", ["tenant", "action"])
     @pytest.mark.parametrize("regions", [[], None, MISSING])
