Read the weights of a split as numbers

What callers saw: a part whose `weight` was true got a share of 1, and one whose `weight` was false or the text "0" got none, without a word.

Cause: float() takes booleans and texts.

Change: a weight is read by read_limit and must be there.

Measured: test_documents.py::TestShares::test_odd_weight_is_rejected, before: 4 of 5 failed; after: passed, and test_decoders.py.

--- a/src/gypsummount/platform/documents.py
+++ b/src/gypsummount/platform/documents.py
@@ -162,13 +162,19 @@
     splits = read_list(action, "trafficSplit")
     if not splits:
         return (Destination(action["service"], 1.0),)
+    destinations = [_decode_destination(split) for split in splits]
     return tuple(
-        Destination(split["service"], float(split["weight"]))
-        for split in splits
-        if float(split["weight"]) != 0
+        destination for destination in destinations if destination.weight != 0
     )
 
 
+def _decode_destination(split: Document) -> Destination:
+    weight = read_limit(split, "weight")
+    if weight is None:
+        raise ValueError("weight")
+    return Destination(split["service"], weight)
+
+
 def _decode_upstream(name: str, spec: Document) -> UpstreamRecord:
     state = read_text(spec, "state")
     if state not in UPSTREAM_STATES:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -150,3 +150,12 @@
     @pytest.mark.parametrize("splits", ["", {}, 0, False])
     def test_odd_split_is_rejected(self, splits):
         reject("action", "trafficSplit", splits, match="trafficSplit")
+
+    @pytest.mark.parametrize("weight", [None, True, False, "1", MISSING])
+    def test_odd_weight_is_rejected(self, weight):
+        """Guards against shares that no weight states."""
+        part = {"service": "s", "weight": weight}
+        if weight is MISSING:
+            del part["weight"]
+        splits = [part, {"service": "s", "weight": 1}]
+        reject("action", "trafficSplit", splits, match="weight")
