Send nothing to cold upstreams whose rate is zero

What callers saw: with `coldPerS` 0, which says that a cold server bears no request, cold servers were sent any number. It was the same for cold upstreams of a service that the configuration in force has dropped, to which requests that wait may still go.

Cause: 0 stood for "no limit" in EdgeService.cold_rate, for a missing field and for a missing service.

Change: cold_rate is None without the field, and only that means no limit; a dropped service counts as a rate of zero. coldStartS and coldPerS that are no numbers of 0 or more are rejected.

One test used a rate of 0 for "no limit"; it has None now, and new tests hold what 0 means, so nothing is looked at less strictly.

--- a/benchmarks/test_selection.py
+++ b/benchmarks/test_selection.py
@@ -30,7 +30,7 @@
     """Return a selection that has seen answers for all objects."""
     replica = Replica(None, FreshnessProof(4.0))
     replica.catalog = Catalog(1, CallerLimits(15.0, 1000))
-    replica.catalog.services["s"] = EdgeService("s", 0.0, 0.0)
+    replica.catalog.services["s"] = EdgeService("s", 0.0, None)
     for number in range(upstreams):
         name = f"u{number}"
         address = f"127.0.0.1:{9000 + number}"
--- a/src/gypsummount/_core/catalog.py
+++ b/src/gypsummount/_core/catalog.py
@@ -47,13 +47,14 @@
     """Slow start and health check of the upstreams of one service.
 
     An upstream is cold for ``cold_s`` after its start and then takes
-    ``cold_rate`` requests per second from the whole fleet.  An empty
-    ``health_path`` means that there is no health check.
+    ``cold_rate`` requests per second from the whole fleet: none if that is
+    zero, any number if it is None.  An empty ``health_path`` means that
+    there is no health check.
     """
 
     name: str
     cold_s: float
-    cold_rate: float
+    cold_rate: float | None
     health_path: str = ""
 
 
--- a/src/gypsummount/_edge/cold_limits.py
+++ b/src/gypsummount/_edge/cold_limits.py
@@ -37,15 +37,19 @@
         if load.is_suspected(now):
             self._prober.request_probe(backend, now)
         rate = self._get_rate(backend)
-        if rate <= 0:
+        if rate is None:
             return True
         rate_limit = self.plan.compute_rate_limit(
             backend.region, load.seed, rate, sender
         )
         return load.is_within_rate(now, rate_limit)
 
-    def _get_rate(self, backend: Backend) -> float:
-        """Return a cold upstream's rate limit (1/s); 0 means no limit."""
+    def _get_rate(self, backend: Backend) -> float | None:
+        """Return a cold upstream's rate limit (1/s), None for no limit.
+
+        Nothing is known of a service that the configuration has dropped,
+        so its cold upstreams get nothing.
+        """
         catalog = self._replica.catalog
         service = catalog.services.get(backend.record.service)
         return service.cold_rate if service is not None else 0.0
--- a/src/gypsummount/platform/documents.py
+++ b/src/gypsummount/platform/documents.py
@@ -110,9 +110,9 @@
     for raw in spec["clusters"]:
         catalog.services[raw["name"]] = EdgeService(
             raw["name"],
-            float(raw.get("coldStartS") or 0.0),
+            read_limit(raw, "coldStartS") or 0.0,
             # Requests per second that a cold upstream may get, fleet-wide.
-            float(raw.get("coldPerS") or 0.0),
+            read_limit(raw, "coldPerS"),
             str(raw.get("healthPath") or ""),
         )
     for raw in read_list(spec, "tenants"):
--- a/tests/edge/peak_load.py
+++ b/tests/edge/peak_load.py
@@ -136,7 +136,7 @@
     def _create_selection(self):
         replica = Replica(None, FreshnessProof(4.0))
         replica.catalog = Catalog(1, CallerLimits(15.0, 1000))
-        replica.catalog.services["s"] = EdgeService("s", 0.0, 0.0)
+        replica.catalog.services["s"] = EdgeService("s", 0.0, None)
         for number, upstream in enumerate(self.upstreams.values()):
             replica.upstreams[upstream.name] = UpstreamRecord(
                 upstream.name,
--- a/tests/edge/test_selection.py
+++ b/tests/edge/test_selection.py
@@ -11,6 +11,7 @@
 from gypsummount._core.catalog import UpstreamRecord
 from gypsummount._core.freshness import FreshnessProof
 from gypsummount._core.slow_start import SlowStartPlan
+from gypsummount._core.upstream_load import ColdReason
 from gypsummount._core.upstream_load import LoadObservation
 from gypsummount._core.upstream_load import MAX_LOAD_PER_SLOT
 from gypsummount._core.upstream_load import MIN_SILENCE_S
@@ -383,12 +384,29 @@
     async def test_upstream_without_a_limit_is_never_limited(
         self, selection, replica
     ):
-        replica.catalog.services["s"] = EdgeService("s", 3.0, 0.0)
+        replica.catalog.services["s"] = EdgeService("s", 3.0, None)
         for backend in selection._backends:
             selection.record_broken_exchange(backend, read_monotonic())
         selection.apply_fleet_state({}, SlowStartPlan("n1", {}))
         await acquire(selection, create_need(7))
 
+    @pytest.mark.parametrize("services", [["s"], []])
+    async def test_cold_upstream_with_a_limit_of_zero_gets_nothing(
+        self, selection, replica, services
+    ):
+        """Guards against floods of upstreams that take no cold requests.
+
+        It is the same for a service that the configuration has dropped.
+        """
+        replica.catalog.services.clear()
+        for name in services:
+            replica.catalog.services[name] = EdgeService(name, 3.0, 0.0)
+        for backend in selection._backends:
+            now = read_monotonic()
+            backend.load.mark_cold(now, now + 3.0, ColdReason.REGISTRATION)
+        with pytest.raises(NoCapacity):
+            await acquire(selection, create_need(7))
+
 
 class TestSlowWork:
     """Load pattern: work of seconds, seen by many instances.
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -159,3 +159,19 @@
             del part["weight"]
         splits = [part, {"service": "s", "weight": 1}]
         reject("action", "trafficSplit", splits, match="weight")
+
+
+class TestColdStart:
+    def test_rate_of_zero_is_a_limit(self):
+        """Guards against floods of cold upstreams that take nothing."""
+        catalog = decode_changed("cluster", "coldPerS", 0)
+        assert catalog.services["s"].cold_rate == 0
+
+    def test_missing_rate_is_no_limit(self):
+        catalog = decode_changed("cluster", "coldPerS", MISSING)
+        assert catalog.services["s"].cold_rate is None
+
+    @pytest.mark.parametrize("name", ["coldPerS", "coldStartS"])
+    @pytest.mark.parametrize("value", [None, "", False, -1, float("nan")])
+    def test_odd_values_are_rejected(self, name, value):
+        reject("cluster", name, value, match=name)
