Reject zero times and attempts instead of using defaults

What callers saw: with `timeoutS` 0 a request was kept waiting for up to 30 s, with `attempts` 0 it was sent to one server, and a `targetLatencyS` of 0 became the time-out.

Cause: `x or default`, which takes zero for missing, before the check that rejects values that are not positive.

Change: read_number has the default for null and missing only; the check sees the zero.

--- a/src/gypsummount/platform/documents.py
+++ b/src/gypsummount/platform/documents.py
@@ -52,6 +52,7 @@
 from gypsummount.platform.fields import read_int
 from gypsummount.platform.fields import read_limit
 from gypsummount.platform.fields import read_list
+from gypsummount.platform.fields import read_number
 from gypsummount.platform.fields import read_text
 from gypsummount.platform.fields import read_texts
 
@@ -132,14 +133,14 @@
         raw["name"],
         read_limit(raw, "requestsPerS") or 0.0,
         read_limit(raw, "burst") or 0.0,
-        int(raw.get("priority") or 0),
+        int(read_number(raw, "priority", 0)),
         frozenset(read_texts(raw, "homeRegions")),
     )
 
 
 def _decode_route(host: str, raw: Document) -> EdgeRoute:
     action = raw["action"]
-    timeout_s = float(action.get("timeoutS") or DEFAULT_TIMEOUT_S)
+    timeout_s = read_number(action, "timeoutS", DEFAULT_TIMEOUT_S)
     return EdgeRoute(
         name=raw["name"],
         host=host,
@@ -150,9 +151,9 @@
         is_sticky=read_flag(raw, "sticky"),
         timeout_s=timeout_s,
         # The latency objective; without one, it is the timeout.
-        objective_s=float(raw.get("targetLatencyS") or timeout_s),
-        attempts=int(action.get("attempts") or DEFAULT_ATTEMPTS),
-        priority=int(raw.get("priority") or 0),
+        objective_s=read_number(raw, "targetLatencyS", timeout_s),
+        attempts=int(read_number(action, "attempts", DEFAULT_ATTEMPTS)),
+        priority=int(read_number(raw, "priority", 0)),
         home_regions=frozenset(read_texts(action, "homeRegions")),
     )
 
--- a/src/gypsummount/platform/fields.py
+++ b/src/gypsummount/platform/fields.py
@@ -71,3 +71,9 @@
     if not isfinite(value) or value < 0:
         raise ValueError(f"{name} is {value}; it must be 0 or more")
     return float(value)
+
+
+def read_number(raw: Document, name: str, default: float) -> float:
+    """Return a number, the default if it is null or missing, but not if 0."""
+    value = raw.get(name)
+    return default if value is None else float(value)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -175,3 +175,18 @@
     @pytest.mark.parametrize("value", [None, "", False, -1, float("nan")])
     def test_odd_values_are_rejected(self, name, value):
         reject("cluster", name, value, match=name)
+
+
+class TestTimesAndAttempts:
+    @pytest.mark.parametrize("value", [None, MISSING])
+    def test_null_and_missing_have_a_default(self, value):
+        route = find_route(decode_changed("action", "timeoutS", value))
+        assert route.timeout_s == 30.0
+        route = find_route(decode_changed("action", "attempts", value))
+        assert route.attempts == 1
+
+    def test_zero_is_not_taken_for_missing(self):
+        """Guards against sends that the operator has set to zero."""
+        reject("action", "timeoutS", 0, match="time-out")
+        reject("action", "attempts", 0, match="attempts")
+        reject("rule", "targetLatencyS", 0, match="objective")
