Reject workspaces without a name

What callers saw: requests of a tenant whose `name` was null ran without Gypsummount-Tenant-Name, and those of one whose name was "" with an empty one.

Cause: a workspace name of None stands for "no workspace" elsewhere.

Change: the name must be a text that is not empty.

Measured: test_documents.py::TestNames, before: 3 of 4 failed; after: passed.

--- a/src/gypsummount/platform/documents.py
+++ b/src/gypsummount/platform/documents.py
@@ -130,7 +130,7 @@
 
 def _decode_workspace(raw: Document) -> EdgeWorkspace:
     return EdgeWorkspace(
-        raw["name"],
+        read_text(raw, "name"),
         read_limit(raw, "requestsPerS") or 0.0,
         read_limit(raw, "burst") or 0.0,
         int(read_number(raw, "priority", 0)),
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -70,6 +70,13 @@
             decode({**build_config(3, []), "tenants": tenants})
 
 
+class TestNames:
+    @pytest.mark.parametrize("name", ["", None, MISSING, 7])
+    def test_workspace_needs_a_name(self, name):
+        """Guards against requests of a workspace that seem to have none."""
+        reject("tenant", "name", name, match="name")
+
+
 class TestKeys:
     @pytest.mark.parametrize("keys", [[], None, MISSING])
     def test_workspace_without_keys_has_none(self, keys):
