Don't take a missing list of the store for an empty one

What callers saw: after an answer of the store without `items`, or with null or {} there, all servers seemed gone and all evacuations lifted, so that evacuated domains got requests; one without `events` moved the cursor past changes. An empty page with `hasMore` ended a list whose rest was missing.

Cause: `raw.get(name) or []`, and `or not items` at the end of a page.

Change: such an answer is unreadable; the reader tries again, as after any failed call.

Measured: test_odd_entries.py::TestOddAnswers, before: 6 of 7 failed; after: passed, with test_store_client.py, test_store_eras.py and test_duty_wire.py.

--- a/src/gypsummount/platform/store.py
+++ b/src/gypsummount/platform/store.py
@@ -115,7 +115,7 @@
             position = position or _read_position(answer)
             if answer.era and get_era(position) != answer.era:
                 raise _build_restored()
-            if not raw.get("hasMore") or not items:
+            if not raw.get("hasMore"):
                 return Listing(tuple(records), position)
             after = _find_last_name(items)
 
@@ -201,7 +201,7 @@
             for item in items:
                 if _read_metadata(item).get("name") == duty:
                     return LeaseReading(decode_lease(item, era), era)
-            if not raw.get("hasMore") or not items:
+            if not raw.get("hasMore"):
                 return LeaseReading(None, era)
             after = _find_last_name(items)
 
@@ -291,8 +291,12 @@
 
 
 def _read_list(raw: dict[str, Any], name: str) -> list[Any]:
-    """Return a list of an answer; one that is missing is empty."""
-    value = raw.get(name) or []
+    """Return a list of an answer.
+
+    An empty list removes all known records of a kind, so one that is
+    missing or null is not taken for it.
+    """
+    value = raw.get(name)
     if not isinstance(value, list):
         raise _build_unreadable()
     return value
@@ -309,7 +313,10 @@
 
 
 def _find_last_name(items: list[Any]) -> str:
-    """Return the name after which the next page begins."""
+    """Return the name after which the next page begins.
+
+    A page without any can't be the last but one: the rest is missing.
+    """
     for item in reversed(items):
         name = _read_metadata(item).get("name")
         if isinstance(name, str):
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -11,6 +11,7 @@
 from gypsummount._edge.copies import NO_CURSOR
 from gypsummount._edge.replica import Replica
 from gypsummount._edge.store_feed import Kind
+from gypsummount.errors import StoreUnavailable
 from gypsummount.platform.store import StoreClient
 from tests.entry.wires import read_request
 from tests.entry.wires import ScriptedUpstream
@@ -136,3 +137,33 @@
         receiver = apply(copy.kinds[0].listing)
         assert receiver.upstreams["good"].address == GOOD_ADDRESS
         assert receiver.upstreams.keys() == replica.upstreams.keys()
+
+
+class TestOddAnswers:
+    """An answer without a list is not taken for one without objects."""
+
+    @pytest.mark.parametrize("items", ["", '"items":null,', '"items":{},'])
+    async def test_list_needs_its_items(self, items):
+        """Guards against the removal of all records, evacuations too."""
+        body = f'{{{items}"hasMore":false,"at":9}}'.encode()
+        with pytest.raises(StoreUnavailable):
+            await receive(body, is_watch=False)
+
+    @pytest.mark.parametrize("events", ["", '"events":null,'])
+    async def test_watch_needs_its_events(self, events):
+        """Guards against a cursor that passes over changes."""
+        body = f'{{{events}"at":9}}'.encode()
+        with pytest.raises(StoreUnavailable):
+            await receive(body, is_watch=True)
+
+    async def test_list_ends_with_its_last_page_only(self):
+        """Guards against the removal of records on pages not yet read."""
+        body = b'{"items":[],"hasMore":true,"at":9}'
+        with pytest.raises(StoreUnavailable):
+            await receive(body, is_watch=False)
+
+    async def test_empty_lists_are_empty(self):
+        listing = await receive(b'{"items":[],"at":9}', is_watch=False)
+        assert listing.records == ()
+        listing = await receive(b'{"events":[],"at":9}', is_watch=True)
+        assert listing.records == ()
