Evacuate a domain whatever its record holds

What callers saw: an evacuation whose object had no `specification`, or could not be read, was ignored: its servers went on getting requests.

Cause: the decoder asked every record for that field before it looked at the kind, though an evacuation has no value that is used.

Change: an evacuation is decoded by its kind alone.

--- a/src/gypsummount/platform/documents.py
+++ b/src/gypsummount/platform/documents.py
@@ -72,10 +72,12 @@
     """Return the decoded value of a record.
 
     It is None for an evacuation, which has no value: the record's
-    existence is enough.
+    existence is enough, whatever it holds.
 
     :raises RecordInvalid: when the record cannot be decoded.
     """
+    if record.kind is Kind.EVACUATION:
+        return None
     try:
         raw = loads(record.payload)
         spec = raw["specification"]
@@ -85,9 +87,7 @@
             return _decode_upstream(record.name, spec)
         if record.kind is Kind.ROLLOUT:
             return _decode_rollout(record, raw)
-        if record.kind is Kind.INSTANCE:
-            return InstanceRecord(record.name, _read_host(spec["host"]))
-        return None
+        return InstanceRecord(record.name, _read_host(spec["host"]))
     except ConfigError as error:
         raise RecordInvalid(
             f"{error}; look at the program that writes the record"
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -5,10 +5,14 @@
 
 import pytest
 
+from gypsummount._core.freshness import FreshnessProof
+from gypsummount._edge.replica import Replica
 from gypsummount._edge.store_feed import Kind
+from gypsummount._edge.store_feed import Listing
 from gypsummount._edge.store_feed import Record
 from gypsummount.errors import RecordInvalid
 from gypsummount.platform.documents import decode_record
+from gypsummount.platform.store import StoreClient
 from tests.platform.doubles import build_config
 
 MISSING = object()
@@ -197,3 +201,16 @@
         reject("action", "timeoutS", 0, match="time-out")
         reject("action", "attempts", 0, match="attempts")
         reject("rule", "targetLatencyS", 0, match="objective")
+
+
+class TestEvacuations:
+    @pytest.mark.parametrize(
+        "payload", [b"{}", b'{"specification":null}', b"[]", b"", b"\xff"]
+    )
+    def test_existence_is_enough(self, payload):
+        """Guards against domains that stay in use as a field is missing."""
+        record = Record(Kind.EVACUATION, "z1", 7, payload)
+        assert decode_record(record) is None
+        replica = Replica(StoreClient("127.0.0.1:1"), FreshnessProof(4.0))
+        replica.apply_listing(Kind.EVACUATION, Listing((record,), 7), 0.0)
+        assert replica.evacuated == {"z1"}
