Take an empty registry for an incomplete one

What callers saw: in a fleet that starts for the first time, each instance that read the list of instances before any had registered, and had heard no peer yet, let each workspace have its whole rate.

Cause: FleetState told an unread registry from an empty one, but an empty one lacks at least the instance that reads it.

Change: without peers, the initial share stays while the registry is empty.

Measured: edge/test_fleet_state.py::TestRegistry, before: 1 of 4 failed (share 1.0 where 0.1 is awaited); after: passed.

--- a/src/gypsummount/_edge/fleet_state.py
+++ b/src/gypsummount/_edge/fleet_state.py
@@ -12,7 +12,6 @@
 from gypsummount._edge.retry_budgets import RetryBudgets
 from gypsummount._edge.selection import Selection
 from gypsummount._edge.settings import EdgeSettings
-from gypsummount._edge.store_feed import Kind
 from gypsummount._edge.tokens import Tokens
 
 
@@ -42,7 +41,8 @@
             quotas.update_shares(self._peers.list_region_quotas(now), now)
             return
         peers = self._peers.list_quotas(now)
-        if not peers and not self._replica.is_known(Kind.INSTANCE):
+        # A registry without any instance lacks at least this one.
+        if not peers and not self._replica.instances:
             return
         reserved = [PeerQuotas(is_live=False)] * unknown
         quotas.update_shares([*peers, *reserved], now)
