Set no limit for services without a slow start

What callers saw: nothing in the field. Since a service with coldStartS 0 and coldPerS 0 would have got no requests at an upstream for a second each time that it may have restarted, as any suspicion lasts for a margin of 1 s. Found by reading mark_suspected.

Cause: two zeros say that there is no slow start, one that a cold server bears nothing.

Change: with a cold time of zero, a rate of zero is no limit.

Measured: test_documents.py::TestColdStart, the new test before: failed; after: passed.

--- a/src/gypsummount/platform/documents.py
+++ b/src/gypsummount/platform/documents.py
@@ -109,13 +109,8 @@
         requires_keys="tenants" in spec,
     )
     for raw in spec["clusters"]:
-        catalog.services[raw["name"]] = EdgeService(
-            raw["name"],
-            read_limit(raw, "coldStartS") or 0.0,
-            # Requests per second that a cold upstream may get, fleet-wide.
-            read_limit(raw, "coldPerS"),
-            str(raw.get("healthPath") or ""),
-        )
+        service = _decode_service(raw)
+        catalog.services[service.name] = service
     for raw in read_list(spec, "tenants"):
         workspace = _decode_workspace(raw)
         catalog.workspaces[workspace.name] = workspace
@@ -128,6 +123,18 @@
     return catalog
 
 
+def _decode_service(raw: Document) -> EdgeService:
+    cold_s = read_limit(raw, "coldStartS") or 0.0
+    # Requests per second that a cold upstream may get, fleet-wide.
+    cold_rate = read_limit(raw, "coldPerS")
+    if not cold_s and not cold_rate:
+        # The upstreams have no slow start.
+        cold_rate = None
+    return EdgeService(
+        raw["name"], cold_s, cold_rate, str(raw.get("healthPath") or "")
+    )
+
+
 def _decode_workspace(raw: Document) -> EdgeWorkspace:
     return EdgeWorkspace(
         read_text(raw, "name"),
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -183,6 +183,16 @@
         catalog = decode_changed("cluster", "coldPerS", MISSING)
         assert catalog.services["s"].cold_rate is None
 
+    @pytest.mark.parametrize("cold_s", [0, MISSING])
+    def test_service_without_a_slow_start_has_no_limit(self, cold_s):
+        """Guards against pauses of upstreams that are never cold.
+
+        Any upstream that may have restarted counts as cold for a moment.
+        """
+        config = build_changed("coldStartS", cold_s, key="cluster")
+        config["clusters"][0]["coldPerS"] = 0
+        assert decode(config).services["s"].cold_rate is None
+
     @pytest.mark.parametrize("name", ["coldPerS", "coldStartS"])
     @pytest.mark.parametrize("value", [None, "", False, -1, float("nan")])
     def test_odd_values_are_rejected(self, name, value):
