--- a/src/gypsummount/_edge/service_state.py
+++ b/src/gypsummount/_edge/service_state.py
@@ -5,7 +5,7 @@
 from dataclasses import field
 
 from gypsummount._core.placement import RegionPlan
-from gypsummount._core.upstream_load import ProcessingTimes
+from gypsummount._core.processing_times import ProcessingTimes
 from gypsummount._edge.backends import Backend
 from gypsummount._edge.backends import Need
 
--- a/tests/edge/test_selection.py
+++ b/tests/edge/test_selection.py
@@ -10,10 +10,10 @@
 from gypsummount._core.catalog import EdgeService
 from gypsummount._core.catalog import UpstreamRecord
 from gypsummount._core.freshness import FreshnessProof
+from gypsummount._core.processing_times import MAX_LOAD_PER_SLOT
 from gypsummount._core.slow_start import SlowStartPlan
 from gypsummount._core.upstream_load import ColdReason
 from gypsummount._core.upstream_load import LoadObservation
-from gypsummount._core.upstream_load import MAX_LOAD_PER_SLOT
 from gypsummount._core.upstream_load import MIN_SILENCE_S
 from gypsummount._edge.backends import Need
 from gypsummount._edge.load_policy import MAX_PREFERRED
