--- a/tests/edge/dispatch_network.py
+++ b/tests/edge/dispatch_network.py
@@ -17,10 +17,10 @@
 from gypsummount._edge.selector import ExchangeResult
 from gypsummount._edge.wire import LoadReport
 from tests.edge.test_peers import build_digest
-from tests.edge.test_selection import create_replica
-from tests.edge.test_selection import LOCAL_UPSTREAMS
-from tests.edge.test_selection import REGIONS
-from tests.edge.test_selection import SLOTS
+from tests.edge.upstreams import create_replica
+from tests.edge.upstreams import LOCAL_UPSTREAMS
+from tests.edge.upstreams import REGIONS
+from tests.edge.upstreams import SLOTS
 
 REGION = "a"
 DEFAULT_OBJECTIVE_S = 0.5
--- a/tests/edge/test_dispatch_queue.py
+++ b/tests/edge/test_dispatch_queue.py
@@ -21,7 +21,7 @@
 from tests.edge.dispatch_network import find_first
 from tests.edge.dispatch_network import find_suited
 from tests.edge.dispatch_network import Network
-from tests.edge.test_selection import LOCAL_UPSTREAMS
+from tests.edge.upstreams import LOCAL_UPSTREAMS
 
 SIZE = 14
 WAITING = 300
--- a/tests/edge/test_rollouts.py
+++ b/tests/edge/test_rollouts.py
@@ -16,7 +16,7 @@
 from gypsummount._edge.rollouts import Rollouts
 from gypsummount._edge.rollouts import RUNNING
 from tests.edge.test_peers import build_digest
-from tests.edge.test_selection import create_record
+from tests.edge.upstreams import create_record
 
 
 class Service:
