Split the double of the store off the other doubles

The tests that use it were run: eras, duties on the wire, workspace lists, the program and odd entries passed.

--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -18,10 +18,10 @@
 from tests.platform.doubles import build_config
 from tests.platform.doubles import build_server
 from tests.platform.doubles import serve_server
-from tests.platform.doubles import serve_store
 from tests.platform.doubles import ServerDouble
-from tests.platform.doubles import StoreDouble
 from tests.platform.doubles import write_settings
+from tests.platform.store_double import serve_store
+from tests.platform.store_double import StoreDouble
 
 ZONES = {"z1": "r1", "z2": "r2"}
 KEY = "key-of-w"
--- a/tests/platform/test_duty_wire.py
+++ b/tests/platform/test_duty_wire.py
@@ -25,11 +25,11 @@
 from gypsummount.platform.store import StoreClient
 from tests.platform.conftest import find_free_ports
 from tests.platform.conftest import ZONES
-from tests.platform.doubles import serve_store
-from tests.platform.doubles import StoreDouble
 from tests.platform.doubles import write_settings
 from tests.platform.duty_double import DutyDouble
 from tests.platform.duty_double import serve_duties
+from tests.platform.store_double import serve_store
+from tests.platform.store_double import StoreDouble
 from tests.platform.test_decoders import list_paths
 from tests.platform.test_decoders import replace_value
 from tests.platform.test_decoders import VALUES
--- a/tests/platform/test_store_eras.py
+++ b/tests/platform/test_store_eras.py
@@ -20,8 +20,8 @@
 from gypsummount.platform.store import StoreClient
 from tests.entry.wires import read_request
 from tests.entry.wires import ScriptedUpstream
-from tests.platform.doubles import serve_store
-from tests.platform.doubles import StoreDouble
+from tests.platform.store_double import serve_store
+from tests.platform.store_double import StoreDouble
 
 
 @pytest.fixture
