Fuzz requests that wait while configurations change

Two random configurations (route, homes, workspaces, holder of the key, keys asked for or not) and a request admitted under the first: before its send under the second it is let through only if it would be admitted for the same workspace, with all of its regions.

--- a/tests/edge/test_changed_configurations.py
+++ b/tests/edge/test_changed_configurations.py
@@ -2,6 +2,9 @@
 
 from random import Random
 
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
 import pytest
 
 from gypsummount._common.clocks import read_monotonic
@@ -20,6 +23,7 @@
 from gypsummount.errors import ConfigurationChanged
 from gypsummount.errors import KeyMissing
 from gypsummount.errors import KeyRefused
+from gypsummount.errors import RequestError
 from gypsummount.errors import UpstreamFailed
 
 HOST = "h"
@@ -229,3 +233,73 @@
         context = harness.admit(before, "k")
         harness.recheck(context, self.build(2, route=["r1", "r2"]))
         harness.recheck(context, self.build(3))
+
+
+REGIONS = st.sets(st.sampled_from(["r1", "r2", "r3"]), max_size=2)
+
+
+@st.composite
+def draw_catalog(draw):
+    """A catalog with at most one route, two workspaces and one key."""
+    routes = []
+    if draw(st.booleans()):
+        is_open = draw(st.booleans())
+        routes = [create_route(is_open=is_open, regions=draw(REGIONS))]
+    owner = draw(st.sampled_from([None, "v", "w"]))
+    return create_catalog(
+        1,
+        requires_keys=draw(st.booleans()),
+        routes=routes,
+        workspaces=[create_workspace(n, draw(REGIONS)) for n in ("v", "w")],
+        owners={"k": owner} if owner else {},
+    )
+
+
+def describe_permission(catalog, key, removed_route=None):
+    """Return the workspace and the permitted regions, None if refused."""
+    route = catalog.find_route(HOST, "/a/x") or removed_route
+    if route is None:
+        return None
+    everywhere = {"r1", "r2", "r3"}
+    homes = set(route.home_regions) or everywhere
+    if route.is_open or not catalog.requires_keys:
+        return "", homes
+    owner = catalog.owners.get(key)
+    if owner is None:
+        return None
+    homes &= set(catalog.workspaces[owner].home_regions) or everywhere
+    return (owner, homes) if homes else None
+
+
+class TestRandomChanges:
+    @settings(max_examples=500, deadline=None)
+    @given(
+        before=draw_catalog(),
+        after=draw_catalog(),
+        key=st.sampled_from([None, "k"]),
+    )
+    def test_request_is_sent_only_as_it_would_be_admitted(
+        self, before, after, key
+    ):
+        """Guards against sends that the new configuration does not allow.
+
+        A route that was removed counts as unchanged.
+        """
+        admitted = describe_permission(before, key)
+        harness = Harness()
+        if admitted is None:
+            with pytest.raises(RequestError):
+                harness.admit(before, key)
+            return
+        context = harness.admit(before, key)
+        permitted = describe_permission(after, key, context.route)
+        try:
+            harness.recheck(context, after)
+            is_sent = True
+        except RequestError:
+            is_sent = False
+        assert is_sent == (
+            permitted is not None
+            and permitted[0] == admitted[0]
+            and permitted[1] >= admitted[1]
+        )
