--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -206,11 +206,17 @@
         route = find_route(decode_changed("action", "attempts", value))
         assert route.attempts == 1
 
-    def test_zero_is_not_taken_for_missing(self):
+    @pytest.mark.parametrize(
+        ("part", "name", "match"),
+        [
+            ("action", "timeoutS", "time-out"),
+            ("action", "attempts", "attempts"),
+            ("rule", "targetLatencyS", "objective"),
+        ],
+    )
+    def test_zero_is_not_taken_for_missing(self, part, name, match):
         """Guards against sends that the operator has set to zero."""
-        reject("action", "timeoutS", 0, match="time-out")
-        reject("action", "attempts", 0, match="attempts")
-        reject("rule", "targetLatencyS", 0, match="objective")
+        reject(part, name, 0, match=match)
 
 
 class TestEvacuations:
