Build the catalog with one key in one place

Cause: four tests of changed configurations built the same catalog with one workspace and its key.

Change: create_keyed_catalog.

--- a/tests/edge/test_changed_configurations.py
+++ b/tests/edge/test_changed_configurations.py
@@ -82,6 +82,13 @@
     return EdgeWorkspace(name, 0.0, 0.0, 0, frozenset(regions))
 
 
+def create_keyed_catalog(version):
+    """Return a catalog in which the workspace "w" holds the key "k"."""
+    return create_catalog(
+        version, workspaces=[create_workspace("w")], owners={"k": "w"}
+    )
+
+
 class Harness:
     """Admits a request under one catalog and checks it under another."""
 
@@ -136,9 +143,7 @@
             harness.recheck(context, create_catalog(2))
 
     def test_key_of_the_last_workspace_is_refused(self, harness):
-        before = create_catalog(
-            1, workspaces=[create_workspace("w")], owners={"k": "w"}
-        )
+        before = create_keyed_catalog(1)
         context = harness.admit(before, "k")
         with pytest.raises(KeyRefused):
             harness.recheck(context, create_catalog(2))
@@ -179,25 +184,19 @@
             harness.recheck(context, after)
 
     def test_key_is_no_longer_needed(self, harness):
-        before = create_catalog(
-            1, workspaces=[create_workspace("w")], owners={"k": "w"}
-        )
+        before = create_keyed_catalog(1)
         context = harness.admit(before, "k")
         with pytest.raises(ConfigurationChanged):
             harness.recheck(context, create_catalog(2, requires_keys=False))
 
     def test_key_is_needed_and_granted(self, harness):
         context = harness.admit(create_catalog(1, requires_keys=False), "k")
-        after = create_catalog(
-            2, workspaces=[create_workspace("w")], owners={"k": "w"}
-        )
+        after = create_keyed_catalog(2)
         with pytest.raises(ConfigurationChanged):
             harness.recheck(context, after)
 
     def test_request_that_may_have_run_is_not_called_not_run(self, harness):
-        before = create_catalog(
-            1, workspaces=[create_workspace("w")], owners={"k": "w"}
-        )
+        before = create_keyed_catalog(1)
         context = harness.admit(before, "k")
         context.may_have_run = True
         with pytest.raises(UpstreamFailed):
