--- a/tests/edge/test_changed_configurations.py
+++ b/tests/edge/test_changed_configurations.py
@@ -8,25 +8,23 @@
 import pytest
 
 from gypsummount._common.clocks import read_monotonic
-from gypsummount._core.catalog import CallerLimits
-from gypsummount._core.catalog import Catalog
-from gypsummount._core.catalog import Destination
-from gypsummount._core.catalog import EdgeRoute
-from gypsummount._core.catalog import EdgeWorkspace
 from gypsummount._core.draining import Drain
 from gypsummount._core.freshness import FreshnessProof
 from gypsummount._edge.admission import Admission
 from gypsummount._edge.replica import Replica
 from gypsummount._edge.rollouts import Rollouts
 from gypsummount._edge.store_feed import Kind
-from gypsummount._edge.wire import Arrival
 from gypsummount.errors import ConfigurationChanged
 from gypsummount.errors import KeyMissing
 from gypsummount.errors import KeyRefused
 from gypsummount.errors import RequestError
 from gypsummount.errors import UpstreamFailed
-
-HOST = "h"
+from tests.edge.catalogs import create_arrival
+from tests.edge.catalogs import create_catalog
+from tests.edge.catalogs import create_keyed_catalog
+from tests.edge.catalogs import create_route
+from tests.edge.catalogs import create_workspace
+from tests.edge.catalogs import HOST
 
 
 class _Caller:
@@ -34,61 +32,6 @@
         return False
 
 
-def create_arrival(key):
-    return Arrival(
-        request_id="id",
-        host=HOST,
-        method="GET",
-        target="/a/x",
-        path="/a/x",
-        headers=(),
-        body=b"",
-        key=key,
-        affinity=None,
-        remaining_s=5.0,
-    )
-
-
-def create_route(*, is_open=False, regions=()):
-    return EdgeRoute(
-        "r",
-        HOST,
-        "/a/",
-        (Destination("s", 1.0),),
-        repeatable=True,
-        is_open=is_open,
-        is_sticky=False,
-        timeout_s=4.0,
-        objective_s=1.0,
-        attempts=2,
-        priority=0,
-        home_regions=frozenset(regions),
-    )
-
-
-def create_catalog(
-    version, *, requires_keys=True, routes=None, workspaces=(), owners=None
-):
-    catalog = Catalog(version, CallerLimits(15.0, 1000), requires_keys)
-    for route in [create_route()] if routes is None else routes:
-        catalog.add_route(route)
-    for workspace in workspaces:
-        catalog.workspaces[workspace.name] = workspace
-    catalog.owners.update(owners or {})
-    return catalog
-
-
-def create_workspace(name, regions=()):
-    return EdgeWorkspace(name, 0.0, 0.0, 0, frozenset(regions))
-
-
-def create_keyed_catalog(version):
-    """Return a catalog in which the workspace "w" holds the key "k"."""
-    return create_catalog(
-        version, workspaces=[create_workspace("w")], owners={"k": "w"}
-    )
-
-
 class Harness:
     """Admits a request under one catalog and checks it under another."""
 
