Build an instance's settings for tests of the edge in one place

Change: tests/edge/instances.py; the instance of the second file is "own" in "r1-a" now, as the first's.

--- a/tests/edge/test_duties.py
+++ b/tests/edge/test_duties.py
@@ -24,35 +24,16 @@
 from gypsummount._edge.duty_feed import DutyOutcome
 from gypsummount._edge.duty_feed import DutyResult
 from gypsummount._edge.settings import DutySettings
-from gypsummount._edge.settings import EdgeBounds
-from gypsummount._edge.settings import EdgeSettings
 from gypsummount._edge.store_feed import LeaseReading
 from gypsummount.errors import RecordInvalid
 from gypsummount.errors import StoreConflict
 from gypsummount.errors import StoreUnavailable
+from tests.edge.instances import create_settings
 from tests.edge.test_peers import build_digest
 
 DUTIES = DutySettings("127.0.0.1:1", ("usage",), lease_s=1.0)
 
 
-def build_settings(duties=DUTIES, name="own"):
-    return EdgeSettings(
-        instance=name,
-        host="10.0.9.1",
-        domain="r1-a",
-        region="r1",
-        regions={},
-        listen="",
-        ready_listen="",
-        directory_listen="",
-        control_listen="",
-        peer_port=1,
-        seeds=(),
-        bounds=EdgeBounds(5.0, 6.0, 2.0),
-        duties=duties,
-    )
-
-
 class FakeStore:
     """The record of one lease; ``is_down`` fails all calls."""
 
@@ -110,7 +91,11 @@
         self.feed = FakeFeed()
         self.metrics = Metrics(None, "")
         self.duties = Duties(
-            build_settings(name=name), 1, store, self.feed, self.metrics
+            create_settings(name, duties=DUTIES),
+            1,
+            store,
+            self.feed,
+            self.metrics,
         )
         self.duties.start(stack)
         self.lease = self.duties.leases["usage"]
@@ -170,7 +155,11 @@
     @pytest.fixture
     def duties(self, store):
         return Duties(
-            build_settings(), 1, store, FakeFeed(), Metrics(None, "")
+            create_settings(duties=DUTIES),
+            1,
+            store,
+            FakeFeed(),
+            Metrics(None, ""),
         )
 
     def update(self, duties, *live):
@@ -228,9 +217,7 @@
 
     async def test_without_duties_nothing_runs(self, store):
         """Guards against tasks and calls of other deployments."""
-        duties = Duties(
-            build_settings(None), 1, store, None, Metrics(None, "")
-        )
+        duties = Duties(create_settings(), 1, store, None, Metrics(None, ""))
         async with AsyncExitStack() as stack:
             duties.start(stack)
             duties.observe(build_digest(1, "r1"))
--- a/tests/edge/test_fleet_state.py
+++ b/tests/edge/test_fleet_state.py
@@ -8,32 +8,14 @@
 from gypsummount._edge.fleet_state import FleetState
 from gypsummount._edge.peers import Peers
 from gypsummount._edge.replica import Replica
-from gypsummount._edge.settings import EdgeBounds
-from gypsummount._edge.settings import EdgeSettings
 from gypsummount._edge.store_feed import InstanceRecord
 from gypsummount._edge.store_feed import Kind
 from gypsummount._edge.tokens import Tokens
+from tests.edge.instances import create_settings
 
 INITIAL_SHARE = 0.1
 
 
-def create_settings():
-    return EdgeSettings(
-        instance="n1",
-        host="10.0.0.1",
-        domain="z1",
-        region="r1",
-        regions={"z1": "r1"},
-        listen="10.0.0.1:1",
-        ready_listen="10.0.0.1:2",
-        directory_listen="10.0.0.1:3",
-        control_listen="10.0.0.1:4",
-        peer_port=5,
-        seeds=(),
-        bounds=EdgeBounds(5.0, 6.0, 2.0),
-    )
-
-
 class TestRegistry:
     @pytest.fixture
     def replica(self):
@@ -41,11 +23,11 @@
 
     def get_share(self, replica):
         """Return the share of a rate after an update, before any digest."""
-        peers = Peers("r1", "z1")
+        peers = Peers("r1", "r1-a")
         quotas = QuotaShares(INITIAL_SHARE)
         now = read_monotonic()
         quotas.take_token("w", 100.0, 100.0, now, max_wait_s=0.0)
-        tokens = Tokens("n1", quotas, replica, peers, None)
+        tokens = Tokens("own", quotas, replica, peers, None)
         state = FleetState(create_settings(), replica, peers)
         state.update_quotas(quotas, tokens, now)
         return quotas.get_share("w")
@@ -67,9 +49,11 @@
         assert self.get_share(replica) == INITIAL_SHARE
 
     def test_only_registered_instance_takes_the_whole_rate(self, replica):
-        self.register(replica, "n1")
+        self.register(replica, "own")
         assert self.get_share(replica) == 1.0
 
     def test_registered_instances_keep_their_parts(self, replica):
-        self.register(replica, *(f"n{number}" for number in range(1, 21)))
+        self.register(
+            replica, "own", *(f"n{number}" for number in range(1, 20))
+        )
         assert self.get_share(replica) == 1 / 20
