Reject an order that names no service, version or time

What callers saw: one order with a list or object as its `targetVersion` stopped the rollouts of all services. A `service` that was no text stopped all rollouts as well. An order with NaN or infinity as its time never ended, and one with null, 0 or "" as its version ran without upstreams.

Cause: the decoder took these fields as they came. Rollouts failed at the odd one each time that it looked at the orders, so it never computed the old versions of any service, and without these a request may use any version: a missing set was taken for an empty one.

Change: `service` and `targetVersion` must be texts that are not empty, `durationS` a finite number of 0 or more (the reader of weights, which now stands once). Zero is an order that ends at once, as before.

--- a/src/gypsummount/platform/documents.py
+++ b/src/gypsummount/platform/documents.py
@@ -48,6 +48,7 @@
 from gypsummount.errors import ConfigError
 from gypsummount.errors import RecordInvalid
 from gypsummount.platform.fields import Document
+from gypsummount.platform.fields import read_amount
 from gypsummount.platform.fields import read_flag
 from gypsummount.platform.fields import read_int
 from gypsummount.platform.fields import read_limit
@@ -177,10 +178,7 @@
 
 
 def _decode_destination(split: Document) -> Destination:
-    weight = read_limit(split, "weight")
-    if weight is None:
-        raise ValueError("weight")
-    return Destination(split["service"], weight)
+    return Destination(split["service"], read_amount(split, "weight"))
 
 
 def _decode_upstream(name: str, spec: Document) -> UpstreamRecord:
@@ -218,9 +216,9 @@
     spec = raw["specification"]
     status = raw.get("status") or {}
     return RolloutOrder(
-        spec["service"],
-        spec["targetVersion"],
-        float(spec["durationS"]),
+        read_text(spec, "service"),
+        read_text(spec, "targetVersion"),
+        read_amount(spec, "durationS"),
         record.revision,
         combine_position(
             get_era(record.revision), int(raw["metadata"]["created"])
--- a/src/gypsummount/platform/fields.py
+++ b/src/gypsummount/platform/fields.py
@@ -63,8 +63,11 @@
 
     Null is no number, so that it can't be taken for "no limit".
     """
-    if name not in raw:
-        return None
+    return read_amount(raw, name) if name in raw else None
+
+
+def read_amount(raw: Document, name: str) -> float:
+    """Return a number that must be there and not negative."""
     value = raw[name]
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         raise ValueError(name)
