End an order that one which can't be read has replaced

Cause: the replica forgets the value of a record that is replaced by an unreadable one for upstreams only. For other kinds the value stays, and so does a configuration with good reason; an order is a request to do something, and it was taken back.

Change: such an order is forgotten like one that was removed, and so its version gets nothing more. Both kinds now count as a change of the replica; for upstreams that was missing.

--- a/src/gypsummount/_edge/replica.py
+++ b/src/gypsummount/_edge/replica.py
@@ -24,6 +24,9 @@
 
 REMOVAL_HOLD_S = 2.0
 REQUIRED_KINDS = (Kind.CATALOG, Kind.UPSTREAM, Kind.EVACUATION, Kind.ROLLOUT)
+# A record of these kinds that can't be decoded ends the one that it replaces;
+# of others, the one before stays in force.
+REPLACED_KINDS = (Kind.UPSTREAM, Kind.ROLLOUT)
 
 _log = get_logger("belief")
 
@@ -251,8 +254,9 @@
             _log.warning(
                 "Ignored %s '%s': %s", record.kind.value, record.name, error
             )
-            if record.kind is Kind.UPSTREAM:
+            if record.kind in REPLACED_KINDS:
                 self._forget_value(record.kind, record.name)
+                self.changes += 1
             return
         self._store_value(record, value, origin)
         self.changes += 1
--- a/tests/platform/test_odd_orders.py
+++ b/tests/platform/test_odd_orders.py
@@ -5,10 +5,15 @@
 
 import pytest
 
+from gypsummount._core.freshness import FreshnessProof
+from gypsummount._edge.replica import Replica
+from gypsummount._edge.rollouts import Rollouts
 from gypsummount._edge.store_feed import Kind
+from gypsummount._edge.store_feed import Listing
 from gypsummount._edge.store_feed import Record
 from gypsummount.errors import RecordInvalid
 from gypsummount.platform.documents import decode_record
+from gypsummount.platform.store import StoreClient
 from tests.platform.test_documents import MISSING
 
 COMPLETE = {"service": "s", "targetVersion": "v2", "durationS": 16.0}
@@ -25,9 +30,17 @@
     }
 
 
-def decode(order):
+def build_record(order, revision):
     raw = {"metadata": {"created": 5}, "specification": order}
-    return decode_record(Record(Kind.ROLLOUT, "s", 7, dumps(raw).encode()))
+    return Record(Kind.ROLLOUT, "s", revision, dumps(raw).encode())
+
+
+def list_order(order, revision):
+    return Listing((build_record(order, revision),), revision)
+
+
+def decode(order):
+    return decode_record(build_record(order, 7))
 
 
 class TestFields:
@@ -91,3 +104,17 @@
         ]
         assert statuses == [200] * CALLS
         assert deployment.servers["i-1"].runs == []
+
+
+class TestReplacedOrders:
+    def test_unreadable_order_ends_the_one_before(self):
+        """Guards against moves to a version that nobody asks for now."""
+        replica = Replica(StoreClient("127.0.0.1:1"), FreshnessProof(4.0))
+        rollouts = Rollouts("n1", replica, None)
+        replica.apply_changes(Kind.ROLLOUT, list_order(build_order(), 7), 0.0)
+        assert rollouts.get_canary("s").order.target == "v2"
+        odd = build_order(targetVersion=None)
+        replica.apply_changes(Kind.ROLLOUT, list_order(odd, 8), 0.0)
+        assert rollouts.get_canary("s") is None
+        replica.apply_changes(Kind.ROLLOUT, list_order(build_order(), 9), 0.0)
+        assert rollouts.get_canary("s").order.target == "v2"
