Split the programs of a test's cluster off the cluster

tests/processes/cluster.py had 399 lines: the fleet, its faults, and the starting, output and killing of processes. The last three are now tests/processes/programs.py, with the secrets that programs get.

--- a/tests/processes/cluster.py
+++ b/tests/processes/cluster.py
@@ -1,21 +1,12 @@
 """A fleet of real processes on loopback, started for one test."""
 
-from asyncio import create_subprocess_exec
 from asyncio import sleep
-from asyncio import TimeoutError as WaitTimeout
-from asyncio import wait_for
-from asyncio.subprocess import Process
-from contextlib import suppress
 from dataclasses import dataclass
 from dataclasses import field
 from json import dumps
 from json import loads
-import os
 from pathlib import Path
 from random import Random
-from signal import SIGCONT
-from signal import SIGKILL
-import sys
 
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
@@ -27,31 +18,11 @@
 from gypsummount._load.caller import Caller
 from tests.processes.links import Links
 from tests.processes.links import start_links
+from tests.processes.programs import Programs
+from tests.processes.programs import RunningProcess
+from tests.processes.programs import TOKEN
 
-PEPPER = "pepper-of-the-process-tests"
-TOKEN = "operator-token-of-the-tests"
 READY_TIMEOUT_S = 40.0
-EXIT_TIMEOUT_S = 10.0
-BIN = Path(sys.executable).parent
-
-
-@dataclass(slots=True)
-class RunningProcess:
-    """A started process and the file that captures its output."""
-
-    name: str
-    process: Process
-    output: Path
-
-    @property
-    def is_alive(self) -> bool:
-        return self.process.returncode is None
-
-    def signal(self, number: int) -> None:
-        self.process.send_signal(number)
-
-    async def wait(self, timeout_s: float) -> int:
-        return await wait_for(self.process.wait(), timeout_s)
 
 
 @dataclass(slots=True)
@@ -88,7 +59,6 @@
     ports: Ports = field(default_factory=Ports)
     random: Random = field(default_factory=lambda: Random(1))
     instances: list[Instance] = field(default_factory=list)
-    processes: list[RunningProcess] = field(default_factory=list)
     callers: list[Caller] = field(default_factory=list)
     store: str = ""
     platform: str = ""
@@ -98,8 +68,12 @@
         default_factory=lambda: SimpleAsyncHTTPClient(force_instance=True)
     )
     admin: AdminClient | None = None
+    programs: Programs = field(init=False)
     unmet_condition: str = ""
 
+    def __post_init__(self) -> None:
+        self.programs = Programs(self.folder)
+
     async def start(self, rules_text: str | None = None) -> None:
         """Start all processes and wait until every entry serves."""
         print(f"seed {self.seed}")
@@ -123,13 +97,13 @@
         await self.wait_ready()
 
     async def start_standins(self) -> None:
-        await self.start_program(
+        await self.programs.start(
             "store", "standin", "store", "--listen", self.store
         )
-        await self.start_program(
+        await self.programs.start(
             "platform", "standin", "platform", "--listen", self.platform
         )
-        await self.start_program(
+        await self.programs.start(
             "upstreams",
             "standin",
             "upstreams",
@@ -144,7 +118,7 @@
     async def start_agent(self, instance: Instance) -> None:
         seeds = ",".join(peer.agent_address for peer in self.instances[:3])
         links = instance.links
-        instance.agent = await self.start_program(
+        instance.agent = await self.programs.start(
             f"agent-{instance.name}",
             "agent",
             *self._build_common_args(instance),
@@ -166,7 +140,7 @@
 
     async def start_entry(self, instance: Instance) -> None:
         links = instance.links
-        instance.entry = await self.start_program(
+        instance.entry = await self.programs.start(
             f"entry-{instance.name}",
             "entry",
             *self._build_common_args(instance),
@@ -184,27 +158,6 @@
             str(self.drain_s),
         )
 
-    async def start_program(
-        self, name: str, program: str, *args: str
-    ) -> RunningProcess:
-        output = self.folder / f"{name}-{len(self.processes)}.log"
-        environment = dict(
-            os.environ,
-            GYPSUMMOUNT_PEPPER=PEPPER,
-            GYPSUMMOUNT_OPERATOR_TOKEN=TOKEN,
-        )
-        with output.open("wb") as file:
-            process = await create_subprocess_exec(
-                str(BIN / f"gypsummount-{program}"),
-                *args,
-                stdout=file,
-                stderr=file,
-                env=environment,
-            )
-        running = RunningProcess(name, process, output)
-        self.processes.append(running)
-        return running
-
     async def publish_instances(self, instances: list[Instance]) -> None:
         rows = [
             {
@@ -247,9 +200,10 @@
     async def wait_until(self, condition, timeout_s: float) -> None:
         deadline = read_monotonic() + timeout_s
         while not await condition():
+            exited = self.programs.list_exited()
             assert read_monotonic() < deadline, (
                 f"{condition.__name__} did not hold in time; exited processes:"
-                f" {self.list_exited()}; unmet: {self.unmet_condition}"
+                f" {exited}; unmet: {self.unmet_condition}"
             )
             await sleep(0.1)
 
@@ -308,17 +262,6 @@
                     raise
                 await sleep(0.1)
 
-    def list_exited(self) -> list[str]:
-        return [
-            process.name for process in self.processes if not process.is_alive
-        ]
-
-    def read_output(self) -> str:
-        return "".join(
-            running.output.read_text(encoding="utf-8", errors="replace")
-            for running in self.processes
-        )
-
     async def close(self) -> None:
         for caller in self.callers:
             caller.close()
@@ -328,14 +271,7 @@
                 await instance.links.close()
         if self.admin is not None:
             self.admin.close()
-        for running in self.processes:
-            if running.is_alive:
-                with suppress(ProcessLookupError):
-                    running.signal(SIGCONT)  # a test may have paused it
-                    running.signal(SIGKILL)
-        for running in self.processes:
-            with suppress(WaitTimeout):
-                await running.wait(EXIT_TIMEOUT_S)
+        await self.programs.close()
         self.ports.close()
 
     async def _start_links(self) -> None:
--- a/tests/processes/test_end_to_end.py
+++ b/tests/processes/test_end_to_end.py
@@ -52,7 +52,7 @@
     async def check_no_key_leaks(self, cluster):
         """No API key appears in logs, admin answers, headers or the store."""
         pages = [
-            cluster.read_output(),
+            cluster.programs.read_output(),
             str(await cluster.admin.read_status()),
             str(await cluster.admin.read_metrics()),
             str(await cluster.admin.list_keys()),
